--- /dev/null
+++ b/src/main/java/embershift/Policy.java
@@ -0,0 +1,722 @@
+package embershift;
+
+import embershift.model.Decisions;
+import embershift.model.Deployment;
+import embershift.model.Deployment.DedupScope;
+import embershift.model.Deployment.Profile;
+import embershift.model.Deployment.Repeat;
+import embershift.model.GroupId;
+import embershift.model.HostId;
+import embershift.model.Listing;
+import embershift.model.News;
+import embershift.model.ProfileId;
+import embershift.model.SetupEnd;
+import embershift.model.SubjectId;
+import embershift.model.TenantId;
+import embershift.model.TunnelId;
+import embershift.model.ZoneId;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.zip.CRC32;
+
+/**
+ * Every decision of one embershift node. Make one from the node's {@link Deployment}, then call {@link #round}
+ * whenever there is news or a wake-up asked for has come: it takes the news as calls of {@link News}, in order,
+ * and writes what is to be done into {@link Decisions}. Both interfaces are in embershift.model. The mechanism,
+ * a weighted draw over the hosts' reported load, and each departure from it are told in docs/design.md.
+ */
+public final class Policy implements News {
+
+    /** Seconds between two probes of a host, and so the age of the figures that a draw rests on. */
+    private static final double PERIOD = 1.0;
+    private static final double SPAN = 256;
+    /** Load over capacity up to which a nearer host, or one holding the tunnel's group, still counts as active. */
+    private static final double ROOMY = 0.6;
+    /** Load over capacity from which a host's messages come too late, so that tunnels are better off elsewhere. */
+    private static final double SINKING = 0.9;
+    /** A host is active while its load is no more than this multiple of the mean. */
+    private static final double LEVEL_SLACK = 1.05;
+    /** A setup that has little time left, against its goal, is not worth sending. */
+    private static final double LEAST_OF_GOAL = 0.1;
+    /** Periods for which a host that has just failed weighs zero; doubled at each failure that follows. */
+    private static final double SHUN = 4;
+
+    private final Deployment deployment;
+    private final Map<ProfileId, Profile> profiles = new HashMap<>();
+    private final Map<HostId, Host> hosts = new HashMap<>();
+    /** The hosts in the order in which the roster first named them: the one order of every loop. */
+    private final List<Host> roll = new ArrayList<>();
+    private final Map<TunnelId, Tunnel> table = new LinkedHashMap<>();
+    /** Where packets of a passed-through tunnel last went, to send them there again while they are kept. */
+    private final Map<SubjectId, Parting> partings = new LinkedHashMap<>();
+    private final Ring sent = new Ring(8, 2 * PERIOD);
+
+    private double now = Double.NEGATIVE_INFINITY;
+    private Decisions decisions;
+    private long draws;
+    private double wokenAt = Double.POSITIVE_INFINITY;
+    private double nextMoves;
+
+    private boolean watching;
+    private double rosterCallAt = Double.POSITIVE_INFINITY;
+    private double rosterPatience;
+
+    public Policy(Deployment deployment) {
+        this.deployment = deployment;
+        this.rosterPatience = deployment.mustAskWithin() / 4;
+        for (Profile profile : deployment.profiles()) {
+            profiles.put(profile.id(), profile);
+        }
+    }
+
+    /** One round: takes in all news, then decides; {@code now} never runs backwards. */
+    public void round(double now, Consumer<News> arrivals, Decisions decisions) {
+        boolean first = this.now == Double.NEGATIVE_INFINITY;
+        this.now = now;
+        this.decisions = decisions;
+        if (now >= wokenAt) {
+            wokenAt = Double.POSITIVE_INFINITY;
+        }
+        if (first && deployment.rosterOnRequest()) {
+            // Nodes restarted together would call a roster of fixed capacity together, and all be turned away.
+            rosterCallAt = now + chance() * rosterPatience / 2;
+        }
+        arrivals.accept(this);
+        followRoster();
+        probe();
+        moveOffSinkingHosts();
+        wake();
+    }
+
+    // ---- The roster ----
+
+    @Override
+    public void rosterListed(List<Listing> listings, boolean remembered) {
+        for (Host host : roll) {
+            host.listed = false;
+        }
+        rosterChanged(listings);
+        for (Host host : roll) {
+            if (!host.listed) {
+                host.state = Listing.State.GONE;
+            }
+        }
+        if (!remembered) {
+            rosterAnswered();
+        }
+    }
+
+    @Override
+    public void rosterChanged(List<Listing> listings) {
+        for (Listing listing : listings) {
+            Host host = hosts.get(listing.host());
+            if (host == null) {
+                host = new Host(listing.host());
+                host.nextProbe = now;
+                hosts.put(host.id, host);
+                roll.add(host);
+            }
+            if (listing.launchedAt() > host.launchedAt) {
+                host.launchedAt = listing.launchedAt();
+                host.startsAnew(listing.launchedAt());
+                host.nextProbe = now;
+            }
+            host.listed = true;
+            host.state = listing.state();
+            host.zone = listing.zone();
+            host.cell = listing.cell();
+        }
+        rosterAnswered();
+    }
+
+    private void rosterAnswered() {
+        if (deployment.rosterOnRequest() && watching) {
+            rosterCallAt = Double.POSITIVE_INFINITY;
+            rosterPatience = deployment.mustAskWithin() / 4;
+        }
+    }
+
+    @Override
+    public void rosterLost() {
+        // The watch may have broken with it: ask anew, later each time and never in step with the other nodes.
+        watching = false;
+        rosterCallAt = now + rosterPatience * (0.25 + 0.5 * chance());
+        rosterPatience = Math.min(rosterPatience * 1.5, deployment.mustAskWithin() / 2);
+    }
+
+    private void followRoster() {
+        if (now >= rosterCallAt) {
+            decisions.watchRoster(true);
+            watching = true;
+            // An answer that never comes counts as a failure.
+            rosterCallAt = now + deployment.mustAskWithin();
+        }
+    }
+
+    // ---- Tunnels and their setups ----
+
+    @Override
+    public void tunnelArrived(TunnelId id, ProfileId profile, TenantId tenant, SubjectId subject, GroupId group,
+                              double timeLeft, boolean midFlow) {
+        Profile row = profiles.get(profile);
+        if (row == null || table.containsKey(id)) {
+            return;
+        }
+        Tunnel tunnel = new Tunnel(id, row, subject, group, now + timeLeft);
+        table.put(id, tunnel);
+        Parting parting = deployment.tunnelsPassThrough() && subject != null ? partings.remove(subject) : null;
+        if (parting != null && midFlow && now - parting.at < deployment.parkedFor()
+                && parting.host.state != Listing.State.GONE && !parting.host.overdue()) {
+            send(tunnel, parting.host);
+        } else {
+            place(tunnel);
+        }
+    }
+
+    @Override
+    public void tunnelStanding(TunnelId id, ProfileId profile, TenantId tenant, SubjectId subject, GroupId group,
+                               HostId at) {
+        Host host = hosts.get(at);
+        Profile row = profiles.get(profile);
+        if (row == null || table.containsKey(id)) {
+            return;
+        }
+        if (host == null) {
+            host = new Host(at);
+            hosts.put(at, host);
+            roll.add(host);
+        }
+        Tunnel tunnel = new Tunnel(id, row, subject, group, Double.POSITIVE_INFINITY);
+        tunnel.setups = 1;
+        tunnel.open = true;
+        tunnel.host = host;
+        host.admit(tunnel);
+        table.put(id, tunnel);
+    }
+
+    @Override
+    public void tunnelOpened(TunnelId id, int setup, HostId at, double took) {
+        Tunnel tunnel = table.get(id);
+        if (tunnel != null && setup == tunnel.setups - 1 && tunnel.out) {
+            tunnel.out = false;
+            tunnel.open = true;
+            tunnel.host.outcomes.add(now, 0, 1);
+            tunnel.host.failuresInRow = 0;
+        }
+    }
+
+    @Override
+    public void tunnelLeft(TunnelId id) {
+        Tunnel tunnel = table.remove(id);
+        if (tunnel != null) {
+            leave(tunnel);
+            if (tunnel.out && deployment.mayCancel()) {
+                decisions.cancel(id, tunnel.setups - 1);
+            }
+        }
+    }
+
+    @Override
+    public void setupEnded(TunnelId id, int setup, HostId at, SetupEnd end, double took, boolean over) {
+        Host host = hosts.get(at);
+        Tunnel tunnel = table.get(id);
+        boolean current = tunnel != null && setup == tunnel.setups - 1;
+        if (host != null) {
+            judge(host, end, current && tunnel.open);
+        }
+        if (tunnel == null) {
+            return;
+        }
+        if (current) {
+            leave(tunnel);
+            tunnel.out = false;
+        }
+        if (over) {
+            table.remove(id);
+            if (deployment.tunnelsPassThrough() && tunnel.subject != null && host != null && tunnel.open) {
+                rememberParting(tunnel.subject, host);
+            }
+        } else if (current) {
+            if (!end.neverRan()) {
+                tunnel.mayHaveRunAt = host == null ? null : host;
+                tunnel.mayHaveRun = true;
+            }
+            if (host != null) {
+                tunnel.tried.add(host);
+            }
+            place(tunnel);
+        }
+    }
+
+    private void rememberParting(SubjectId subject, Host host) {
+        partings.remove(subject);
+        partings.put(subject, new Parting(host, now));
+        while (now - partings.values().iterator().next().at > deployment.parkedFor()) {
+            partings.remove(partings.keySet().iterator().next());
+        }
+    }
+
+    /** Sends the tunnel's next setup, or gives its final answer at once where none can or may be sent. */
+    private void place(Tunnel tunnel) {
+        double left = tunnel.clientGivesUpAt - now;
+        boolean worthSending = tunnel.setups < deployment.mostSetups()
+                && left > LEAST_OF_GOAL * tunnel.profile.setupGoal() && mayRunAgain(tunnel);
+        Host host = worthSending ? draw(tunnel) : null;
+        if (host != null) {
+            send(tunnel, host);
+            return;
+        }
+        table.remove(tunnel.id);
+        if (mayDecline(tunnel)) {
+            decisions.decline(tunnel.id, returnAdvice());
+        } else {
+            decisions.closeWithError(tunnel.id);
+        }
+    }
+
+    /** Rule 2: what may have run is not sent again unless that is harmless. */
+    private boolean mayRunAgain(Tunnel tunnel) {
+        return switch (tunnel.profile.repeat()) {
+            case REPEATABLE -> true;
+            case REFERENCED -> !tunnel.mayHaveRun || now < tunnel.firstSentAt + tunnel.profile.dedupWindow();
+            case ONCE_ONLY -> !tunnel.mayHaveRun;
+        };
+    }
+
+    /** Rule 2: a decline promises the client that trying again is harmless. */
+    private boolean mayDecline(Tunnel tunnel) {
+        return switch (tunnel.profile.repeat()) {
+            case REPEATABLE -> true;
+            case REFERENCED -> !tunnel.mayHaveRun || tunnel.profile.dedupScope() == DedupScope.ALL
+                    && now < tunnel.firstSentAt + tunnel.profile.dedupWindow();
+            case ONCE_ONLY -> !tunnel.mayHaveRun;
+        };
+    }
+
+    /** Rule 2: a referenced tunnel that may have run goes only where its repeats are dropped. */
+    private boolean dropsRepeats(Tunnel tunnel, Host host) {
+        if (!tunnel.mayHaveRun || tunnel.profile.repeat() != Repeat.REFERENCED) {
+            return true;
+        }
+        Host ran = tunnel.mayHaveRunAt;
+        return ran != null && switch (tunnel.profile.dedupScope()) {
+            case ALL -> true;
+            case ZONE -> ran.zone != null && ran.zone.equals(host.zone);
+            case CELL -> ran.cell == host.cell;
+        };
+    }
+
+    private void send(Tunnel tunnel, Host host) {
+        double left = tunnel.clientGivesUpAt - now;
+        // A once-only tunnel whose setup times out can neither be sent again nor declined: it waits to the end.
+        boolean last = tunnel.setups + 1 >= deployment.mostSetups()
+                || tunnel.profile.repeat() == Repeat.ONCE_ONLY;
+        double timeOut = last ? 0 : Math.min(left, tunnel.profile.setupGoal());
+        if (tunnel.setups == 0) {
+            tunnel.firstSentAt = now;
+        }
+        tunnel.setups++;
+        tunnel.out = true;
+        tunnel.host = host;
+        host.admit(tunnel);
+        host.placedSinceReport++;
+        host.coldCredit -= 1;
+        sent.add(now, 0, 1);
+        decisions.setUp(tunnel.id, host.id, timeOut);
+    }
+
+    private void leave(Tunnel tunnel) {
+        if (tunnel.host != null) {
+            tunnel.host.dismiss(tunnel);
+            tunnel.host = null;
+        }
+    }
+
+    private double returnAdvice() {
+        return deployment.adviceOnReturn() ? Math.min(PERIOD, deployment.longestReturn()) * (0.5 + chance()) / 1.5 : 0;
+    }
+
+    // ---- The draw ----
+
+    /** The host whose interval covers a number drawn from [0, 256), among those that may take this tunnel. */
+    private Host draw(Tunnel tunnel) {
+        List<Host> eligible = new ArrayList<>();
+        int listed = 0;
+        int reachable = 0;
+        for (Host host : roll) {
+            if (host.takesNew() && dropsRepeats(tunnel, host)) {
+                listed++;
+                reachable += host.silent ? 0 : 1;
+                if (!host.silent && !host.shunned() && !tunnel.tried.contains(host)) {
+                    eligible.add(host);
+                }
+            }
+        }
+        if (2 * eligible.size() < reachable || eligible.isEmpty()) {
+            // Where most hosts look bad it is the view that is bad, or there is no better choice: plain draw.
+            eligible.clear();
+            for (Host host : roll) {
+                if (host.takesNew() && dropsRepeats(tunnel, host) && (reachable == 0 || !host.silent)) {
+                    eligible.add(host);
+                }
+            }
+        }
+        eligible.removeIf(host -> host.cold() && !host.coldMayTake());
+        if (eligible.isEmpty()) {
+            return null;
+        }
+        double mean = figures(eligible);
+        return drawn(narrowed(tunnel, eligible, mean));
+    }
+
+    /** Who counts as active for this tunnel: hosts no busier than the mean, with its group or near if there are. */
+    private List<Host> narrowed(Tunnel tunnel, List<Host> eligible, double mean) {
+        List<Host> holding = new ArrayList<>();
+        List<Host> level = new ArrayList<>();
+        List<Host> near = new ArrayList<>();
+        for (Host host : eligible) {
+            boolean roomy = host.count <= Math.max(mean * LEVEL_SLACK, ROOMY);
+            if (roomy && tunnel.group != null && host.groups.containsKey(tunnel.group)) {
+                holding.add(host);
+            }
+            if (host.count <= mean * LEVEL_SLACK) {
+                level.add(host);
+                if (deployment.zone().equals(host.zone)) {
+                    near.add(host);
+                }
+            }
+        }
+        return !holding.isEmpty() ? holding : !near.isEmpty() ? near : !level.isEmpty() ? level : eligible;
+    }
+
+    /** Sets each host's count to its latest load figure, own placements since added, and returns their mean. */
+    private double figures(List<Host> active) {
+        double sum = 0;
+        int heard = 0;
+        for (Host host : active) {
+            if (!Double.isNaN(host.load)) {
+                host.count = host.load + host.placedSinceReport * host.loadOfOne();
+                sum += host.count;
+                heard++;
+            }
+        }
+        double mean = heard == 0 ? 0 : sum / heard;
+        for (Host host : active) {
+            if (Double.isNaN(host.load) || host.cold() && host.count < mean) {
+                host.count = mean;
+            }
+        }
+        return mean;
+    }
+
+    private Host drawn(List<Host> active) {
+        int n = active.size();
+        if (n == 1) {
+            return active.get(0);
+        }
+        double total = 0;
+        for (Host host : active) {
+            total += host.count;
+        }
+        double mark = chance() * SPAN;
+        for (Host host : active) {
+            mark -= weight(host.count, total, n);
+            if (mark < 0) {
+                return host;
+            }
+        }
+        return active.get(n - 1);
+    }
+
+    /** The design's w_i = 256 (total - count_i) / (total (n - 1)). */
+    static double weight(double count, double total, int n) {
+        return n == 1 ? SPAN : total <= 0 ? SPAN / n : SPAN * (total - count) / (total * (n - 1));
+    }
+
+    /** A number from [0, 1), from the node's seed and a counter. */
+    private double chance() {
+        CRC32 crc = new CRC32();
+        crc.update(ByteBuffer.allocate(16).putLong(deployment.seed()).putLong(draws++).array());
+        return crc.getValue() / (double) (1L << 32);
+    }
+
+    // ---- Probes, reports and the hosts' health ----
+
+    private void probe() {
+        if (!deployment.mayProbe()) {
+            return;
+        }
+        for (Host host : roll) {
+            if (now >= host.nextProbe && host.listed && host.state != Listing.State.GONE && !host.probing) {
+                host.probing = true;
+                host.nextProbe = now + PERIOD * (0.9 + 0.2 * chance());
+                decisions.probe(host.id);
+            }
+        }
+    }
+
+    @Override
+    public void probeEnded(HostId at, boolean answered, double took) {
+        Host host = hosts.get(at);
+        if (host != null) {
+            host.probing = false;
+            host.silent = !answered;
+        }
+    }
+
+    @Override
+    public void hostReported(HostId at, double loadOverCapacity, double openTunnels, double queued) {
+        Host host = hosts.get(at);
+        if (host != null) {
+            double load = !Double.isNaN(loadOverCapacity) ? loadOverCapacity
+                    : !Double.isNaN(openTunnels) ? openTunnels : queued;
+            if (!Double.isNaN(load)) {
+                host.load = load;
+                host.openThere = openTunnels;
+                host.placedSinceReport = 0;
+            }
+        }
+    }
+
+    /** A host that fails looks idle and would keep a wide interval: it weighs zero for a while. */
+    private void judge(Host host, SetupEnd end, boolean stood) {
+        switch (end) {
+            case ERROR, BROKEN, TIMED_OUT -> {
+                host.outcomes.add(now, 1, 1);
+                host.failuresInRow++;
+                host.shunnedUntil = now + SHUN * PERIOD * Math.min(4, host.failuresInRow);
+            }
+            case NO_CONNECTION -> {
+                host.silent = true;
+                host.nextProbe = Math.min(host.nextProbe, now);
+            }
+            case FULL -> host.shunnedUntil = Math.max(host.shunnedUntil, now + PERIOD / 2);
+            default -> { }
+        }
+    }
+
+    @Override
+    public void tunnelLoadNoted(TunnelId id, double load) {
+        Tunnel tunnel = table.get(id);
+        if (tunnel != null) {
+            tunnel.load = load;
+        }
+    }
+
+    @Override
+    public void messageDelayNoted(HostId host, double delay) {
+    }
+
+    @Override
+    public void nodeHeard(int node, byte[] content) {
+    }
+
+    // ---- Moves ----
+
+    /** Moves some tunnels off each host that can't serve those it has, as long as others have room. */
+    private void moveOffSinkingHosts() {
+        if (now < nextMoves) {
+            return;
+        }
+        nextMoves = now + PERIOD;
+        List<Host> able = new ArrayList<>();
+        for (Host host : roll) {
+            if (host.takesNew() && !host.silent && !host.shunned()) {
+                able.add(host);
+            }
+        }
+        double mean = figures(able);
+        for (Host host : able) {
+            if (host.load > SINKING && mean < ROOMY && host.placedSinceReport == 0) {
+                moveSome(host, (host.load - mean) / host.load / 2);
+            }
+        }
+    }
+
+    private void moveSome(Host host, double share) {
+        int left = (int) Math.ceil(share * host.own.size());
+        for (Tunnel tunnel : new ArrayList<>(host.own.values())) {
+            if (left > 0 && tunnel.open && !tunnel.moving) {
+                tunnel.moving = true;
+                decisions.move(tunnel.id);
+                left--;
+            }
+        }
+    }
+
+    // ---- Time ----
+
+    private void wake() {
+        double next = Math.min(rosterCallAt, nextMoves);
+        for (Host host : roll) {
+            if (deployment.mayProbe() && host.listed && host.state != Listing.State.GONE && !host.probing) {
+                next = Math.min(next, host.nextProbe);
+            }
+        }
+        if (next < wokenAt && next < Double.POSITIVE_INFINITY) {
+            wokenAt = next;
+            decisions.wakeAfter(Math.max(0, next - now));
+        }
+    }
+
+    /** A measure over time: sums in a ring of fixed time buckets, the first value of an event and its number. */
+    private static final class Ring {
+        private final double[] values;
+        private final int[] numbers;
+        private final double length;
+        private long newest = Long.MIN_VALUE;
+
+        Ring(int buckets, double length) {
+            this.values = new double[buckets];
+            this.numbers = new int[buckets];
+            this.length = length;
+        }
+
+        private void turnTo(double time) {
+            long bucket = (long) Math.floor(time / length);
+            if (newest == Long.MIN_VALUE) {
+                newest = bucket;
+            }
+            for (long b = Math.max(newest + 1, bucket - values.length + 1); b <= bucket; b++) {
+                values[Math.floorMod(b, values.length)] = 0;
+                numbers[Math.floorMod(b, values.length)] = 0;
+            }
+            newest = Math.max(newest, bucket);
+        }
+
+        void add(double time, double value, int number) {
+            turnTo(time);
+            values[Math.floorMod(newest, values.length)] += value;
+            numbers[Math.floorMod(newest, values.length)] += number;
+        }
+
+        /** Events a second, as the median of the full buckets: a short wave does not raise it. */
+        double usualRate(double time) {
+            turnTo(time);
+            int[] past = new int[numbers.length - 1];
+            for (int i = 0; i < past.length; i++) {
+                past[i] = numbers[Math.floorMod(newest - 1 - i, numbers.length)];
+            }
+            java.util.Arrays.sort(past);
+            return past[past.length / 2] / length;
+        }
+    }
+
+    private record Parting(Host host, double at) {
+    }
+
+    private static final class Tunnel {
+        final TunnelId id;
+        final Profile profile;
+        final SubjectId subject;
+        final GroupId group;
+        final double clientGivesUpAt;
+        final List<Host> tried = new ArrayList<>(2);
+        Host host;
+        int setups;
+        boolean out;
+        boolean open;
+        boolean moving;
+        boolean mayHaveRun;
+        Host mayHaveRunAt;
+        double firstSentAt;
+        double load = Double.NaN;
+
+        Tunnel(TunnelId id, Profile profile, SubjectId subject, GroupId group, double clientGivesUpAt) {
+            this.id = id;
+            this.profile = profile;
+            this.subject = subject;
+            this.group = group;
+            this.clientGivesUpAt = clientGivesUpAt;
+        }
+    }
+
+    private final class Host {
+        final HostId id;
+        final Map<TunnelId, Tunnel> own = new LinkedHashMap<>();
+        final Map<GroupId, Integer> groups = new HashMap<>();
+        final Ring outcomes = new Ring(8, PERIOD);
+        boolean listed;
+        Listing.State state = Listing.State.GONE;
+        ZoneId zone;
+        int cell;
+        double launchedAt;
+        double coldUntil = Double.NEGATIVE_INFINITY;
+        double coldCredit;
+        double coldCreditAt;
+        double load = Double.NaN;
+        double openThere = Double.NaN;
+        double count;
+        int placedSinceReport;
+        int failuresInRow;
+        double shunnedUntil = Double.NEGATIVE_INFINITY;
+        boolean silent;
+        boolean probing;
+        double nextProbe = Double.POSITIVE_INFINITY;
+
+        Host(HostId id) {
+            this.id = id;
+        }
+
+        void startsAnew(double at) {
+            coldUntil = at + deployment.warmAfter();
+            // Nodes hear of a start together: a random part of the first unit keeps them from sending together.
+            coldCredit = chance();
+            coldCreditAt = now;
+            load = Double.NaN;
+            shunnedUntil = now;
+            failuresInRow = 0;
+        }
+
+        boolean takesNew() {
+            return listed && state == Listing.State.READY;
+        }
+
+        boolean overdue() {
+            return state == Listing.State.DRAINING && deployment.parkedFor() == 0;
+        }
+
+        boolean shunned() {
+            return now < shunnedUntil;
+        }
+
+        boolean cold() {
+            return now < coldUntil;
+        }
+
+        /** Rule 4: this node's part of what a cold host can be sent, from what it usually sends to each host. */
+        boolean coldMayTake() {
+            double climbed = 1 - (coldUntil - now) / deployment.warmAfter();
+            double part = deployment.coldFrom() + (1 - deployment.coldFrom()) * Math.max(0, climbed);
+            double rate = deployment.fallMultiple() * part * sent.usualRate(now) / Math.max(1, roll.size()) / 2;
+            coldCredit = Math.min(coldCredit + rate * (now - coldCreditAt), Math.max(1, rate * deployment.fallAfter()));
+            coldCreditAt = now;
+            return coldCredit >= 1;
+        }
+
+        /** What one of this node's tunnels adds to the load figure, and those that other nodes place meanwhile. */
+        double loadOfOne() {
+            double there = Double.isNaN(openThere) ? own.size() * deployment.nodes() : openThere;
+            return there < 1 ? 0 : load / there * deployment.nodes();
+        }
+
+        void admit(Tunnel tunnel) {
+            own.put(tunnel.id, tunnel);
+            if (tunnel.group != null) {
+                groups.merge(tunnel.group, 1, Integer::sum);
+            }
+        }
+
+        void dismiss(Tunnel tunnel) {
+            if (own.remove(tunnel.id) != null && tunnel.group != null) {
+                groups.computeIfPresent(tunnel.group, (group, held) -> held == 1 ? null : held - 1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/embershift/adapter/Adapter.java
@@ -0,0 +1,316 @@
+package embershift.adapter;
+
+import embershift.Policy;
+import embershift.model.GroupId;
+import embershift.model.HostId;
+import embershift.model.Listing;
+import embershift.model.News;
+import embershift.model.ProfileId;
+import embershift.model.SetupEnd;
+import embershift.model.SubjectId;
+import embershift.model.TenantId;
+import embershift.model.TunnelId;
+import embershift.model.ZoneId;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Speaks the bench's wire: each line in becomes a call on its instance's module, each decision a line out. */
+public final class Adapter {
+
+    private static final int LISTS = 16;
+    private static final double MICRO = 1e-6;
+    private static final double MILLI = 1e-3;
+
+    private final BufferedReader in;
+    private final OutputStream out;
+    private final PrintStream trouble;
+    private final Map<Integer, Instance> instances = new HashMap<>();
+    private final List<List<Listing>> lists = new ArrayList<>(java.util.Collections.nCopies(LISTS, null));
+    /** The instances with news in the present batch, in the order of their first. */
+    private final Map<Integer, Instance> stirred = new LinkedHashMap<>();
+    private long lineNumber;
+
+    public Adapter(InputStream in, OutputStream out, PrintStream trouble) {
+        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        this.out = out;
+        this.trouble = trouble;
+    }
+
+    /** Plays batches until the input ends. */
+    public void run() throws IOException {
+        StringBuilder reply = new StringBuilder();
+        for (Fields line = next(); line != null; line = next()) {
+            String word = line.text("message");
+            if (!word.equals("BEGIN_BATCH")) {
+                throw line.unreadable("message", "BEGIN_BATCH");
+            }
+            double now = line.number("t-s");
+            long batch = line.wide("batch");
+            readBatch();
+            reply.setLength(0);
+            for (Map.Entry<Integer, Instance> entry : stirred.entrySet()) {
+                decide(now, entry.getKey(), entry.getValue(), reply);
+            }
+            stirred.clear();
+            reply.append("DONE ").append(batch).append('\n');
+            out.write(reply.toString().getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
+    }
+
+    private void decide(double now, int number, Instance instance, StringBuilder reply) {
+        Replies replies = new Replies(number, reply);
+        List<Consumer<News>> arrivals = instance.arrivals;
+        try {
+            instance.module.round(now, news -> {
+                for (Consumer<News> arrival : arrivals) {
+                    arrival.accept(news);
+                }
+            }, replies);
+        } catch (RuntimeException | StackOverflowError | AssertionError e) {
+            e.printStackTrace(trouble);
+            replies.broken(e);
+        }
+        arrivals.clear();
+    }
+
+    /** The next line that is not empty, or null at the end. */
+    private Fields next() throws IOException {
+        String line;
+        do {
+            line = in.readLine();
+            lineNumber++;
+        } while (line != null && line.isEmpty());
+        return line == null ? null : new Fields(lineNumber, line);
+    }
+
+    private void readBatch() throws IOException {
+        while (true) {
+            Fields line = next();
+            if (line == null) {
+                throw new UnreadableLine(lineNumber, "", "message", "COMMIT before the input ends");
+            }
+            String word = line.text("message");
+            if (word.equals("COMMIT")) {
+                return;
+            }
+            if (word.equals("REGISTER")) {
+                register(line);
+            } else {
+                event(word, line);
+            }
+        }
+    }
+
+    private void register(Fields line) throws IOException {
+        int table = line.whole("table");
+        int count = line.whole("hosts");
+        if (table < 0 || table >= LISTS || count < 0) {
+            throw line.unreadable("table", "a list number from 0 to " + (LISTS - 1) + " and a count");
+        }
+        List<Listing> listings = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Fields item = next();
+            if (item == null || !item.text("message").equals("ITEM")) {
+                throw (item == null ? line : item).unreadable("hosts", "as many ITEM lines as were told");
+            }
+            Listing.State state = switch (item.text("health")) {
+                case "Ready" -> Listing.State.READY;
+                case "Terminating" -> Listing.State.DRAINING;
+                case "Gone" -> Listing.State.GONE;
+                default -> throw item.unreadable("health", "Ready, Terminating or Gone");
+            };
+            HostId host = new HostId(item.text("host"));
+            item.optional("class-of-host");
+            String zone = item.optional("az");
+            listings.add(new Listing(host, state, zone == null ? null : new ZoneId(zone),
+                    item.numberOr("units", 1), (int) item.numberOr("unit-group", 0), item.numberOr("launched-s", 0)));
+        }
+        lists.set(table, List.copyOf(listings));
+    }
+
+    private void event(String word, Fields line) {
+        int who = line.whole("who");
+        if (word.equals("SPAWN")) {
+            long seed = line.wide("rng-seed");
+            FirstMessage first = new FirstMessage(line);
+            instances.put(who, new Instance(new Policy(first.deployment(seed)), first.reportColumns()));
+            stirred.remove(who);
+            stirred.put(who, instances.get(who));
+            return;
+        }
+        if (word.equals("TEARDOWN")) {
+            instances.remove(who);
+            stirred.remove(who);
+            return;
+        }
+        Instance instance = instances.get(who);
+        Consumer<News> arrival = arrival(word, line, instance);
+        if (instance != null) {
+            stirred.put(who, instance);
+            if (arrival != null) {
+                instance.arrivals.add(arrival);
+            }
+        }
+    }
+
+    /** What the line says, as a call on the module; null where it only stirs the instance. */
+    private Consumer<News> arrival(String word, Fields line, Instance instance) {
+        switch (word) {
+            case "SYNC":
+                return sync(line);
+            case "ACCEPT":
+            case "RESUMED":
+                return tunnel(word, line);
+            case "ACK_FIRST": {
+                TunnelId id = new TunnelId(line.text("handle"));
+                int setup = line.whole("trial");
+                HostId host = new HostId(line.text("host"));
+                double took = line.numberOr("cost-time-s", 0);
+                return news -> news.tunnelOpened(id, setup, host, took);
+            }
+            case "HINT_UPDATE": {
+                TunnelId id = new TunnelId(line.text("handle"));
+                line.whole("trial");
+                double value = line.number("value");
+                HostId host = new HostId(line.text("host"));
+                return switch (line.whole("sort")) {
+                    case 1 -> news -> news.tunnelLoadNoted(id, value * MICRO);
+                    case 2 -> news -> news.messageDelayNoted(host, value * MILLI);
+                    default -> null;
+                };
+            }
+            case "REPORT_BACK":
+                return setupEnd(line, instance);
+            case "GONE": {
+                TunnelId id = new TunnelId(line.text("handle"));
+                return news -> news.tunnelLeft(id);
+            }
+            case "PROBE_RESULT": {
+                HostId host = new HostId(line.text("host"));
+                boolean answered = line.whole("verdict") == 0;
+                double took = line.numberOr("cost-time-s", 0);
+                Consumer<News> report = report(host, line, instance);
+                return news -> {
+                    news.probeEnded(host, answered, took);
+                    report.accept(news);
+                };
+            }
+            case "PEER_DATA": {
+                int node = line.whole("src");
+                byte[] content = line.bytes("content");
+                return news -> news.nodeHeard(node, content);
+            }
+            case "WAKEUP":
+                line.wide("ctx");
+                return null;
+            default:
+                throw line.unreadable("message", "an event of the wire");
+        }
+    }
+
+    private Consumer<News> sync(Fields line) {
+        // A failed call has no list: its number is meaningless and may be absent.
+        double table = line.numberOr("table", -1);
+        String mode = line.text("mode");
+        if (mode.equals("lost")) {
+            return News::rosterLost;
+        }
+        List<Listing> listings = table < 0 || table >= LISTS ? null : lists.get((int) table);
+        if (listings == null) {
+            throw line.unreadable("table", "the number of a list given before");
+        }
+        return switch (mode) {
+            case "incr" -> news -> news.rosterChanged(listings);
+            case "total" -> news -> news.rosterListed(listings, false);
+            case "warm_copy" -> news -> news.rosterListed(listings, true);
+            default -> throw line.unreadable("mode", "incr, total, warm_copy or lost");
+        };
+    }
+
+    private Consumer<News> tunnel(String word, Fields line) {
+        TunnelId id = new TunnelId(line.text("handle"));
+        ProfileId profile = new ProfileId(line.text("category"));
+        String team = line.optional("team");
+        TenantId tenant = team == null ? null : new TenantId(team);
+        String object = line.optional("object");
+        SubjectId subject = object == null ? null : new SubjectId(object);
+        double left = line.numberOr("left-s", 0);
+        line.numberOr("expected-s", 0);
+        String held = line.optional("group");
+        GroupId group = held == null ? null : new GroupId(held);
+        line.flag("is-retry");
+        boolean midFlow = line.flag("mid-flow");
+        line.flag("came-back");
+        if (word.equals("RESUMED")) {
+            HostId host = new HostId(line.text("host"));
+            return news -> news.tunnelStanding(id, profile, tenant, subject, group, host);
+        }
+        return news -> news.tunnelArrived(id, profile, tenant, subject, group, left, midFlow);
+    }
+
+    private Consumer<News> setupEnd(Fields line, Instance instance) {
+        TunnelId id = new TunnelId(line.text("handle"));
+        int setup = line.whole("trial");
+        HostId host = new HostId(line.text("host"));
+        SetupEnd end = switch (line.whole("verdict")) {
+            case 0 -> SetupEnd.COMPLETED;
+            case 13 -> SetupEnd.ERROR;
+            case 8 -> SetupEnd.FULL;
+            case 4 -> SetupEnd.TIMED_OUT;
+            case 14 -> SetupEnd.NO_CONNECTION;
+            case 10 -> SetupEnd.BROKEN;
+            case 1 -> SetupEnd.CANCELLED;
+            case 9 -> SetupEnd.NOT_SENT;
+            default -> throw line.unreadable("verdict", "one of 0, 1, 4, 8, 9, 10, 13, 14");
+        };
+        double took = line.numberOr("cost-time-s", 0);
+        boolean over = line.flag("no-more");
+        Consumer<News> report = report(host, line, instance);
+        return news -> {
+            report.accept(news);
+            news.setupEnded(id, setup, host, end, took, over);
+        };
+    }
+
+    private Consumer<News> report(HostId host, Fields line, Instance instance) {
+        double[] row = line.ended() ? new double[0] : line.row("metrics");
+        if (row.length == 0 || instance == null) {
+            return news -> { };
+        }
+        double over = instance.value(row, "x0");
+        double open = instance.value(row, "rif");
+        double queued = instance.value(row, "q");
+        return news -> news.hostReported(host, over, open, queued);
+    }
+
+    /** One isolated module with its news of the present batch. */
+    private static final class Instance {
+        final Policy module;
+        final String[] columns;
+        final List<Consumer<News>> arrivals = new ArrayList<>();
+
+        Instance(Policy module, List<String> columns) {
+            this.module = module;
+            this.columns = columns.toArray(new String[0]);
+        }
+
+        double value(double[] row, String column) {
+            int i = Arrays.asList(columns).indexOf(column);
+            return i < 0 || i >= row.length ? Double.NaN : row[i];
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/embershift/adapter/Replies.java
@@ -0,0 +1,124 @@
+package embershift.adapter;
+
+import embershift.model.Decisions;
+import embershift.model.HostId;
+import embershift.model.TunnelId;
+
+import java.util.Base64;
+
+/** Writes one instance's decisions as lines of the batch's reply. */
+final class Replies implements Decisions {
+
+    private final int instance;
+    private final StringBuilder reply;
+
+    Replies(int instance, StringBuilder reply) {
+        this.instance = instance;
+        this.reply = reply;
+    }
+
+    private StringBuilder action(String word) {
+        return reply.append(word).append(' ').append(instance);
+    }
+
+    @Override
+    public void setUp(TunnelId id, HostId host, double timeOut) {
+        action("HAND_OFF").append(' ').append(id.name()).append(' ').append(host.name()).append(' ');
+        seconds(timeOut);
+    }
+
+    @Override
+    public void cancel(TunnelId id, int setup) {
+        action("CANCEL").append(' ').append(id.name()).append(' ').append(setup).append('\n');
+    }
+
+    @Override
+    public void decline(TunnelId id, double returnAfter) {
+        action("BOUNCE").append(' ').append(id.name()).append(' ');
+        seconds(returnAfter);
+    }
+
+    @Override
+    public void closeWithError(TunnelId id) {
+        action("GIVE_UP").append(' ').append(id.name()).append('\n');
+    }
+
+    @Override
+    public void move(TunnelId id) {
+        action("TRANSFER").append(' ').append(id.name()).append('\n');
+    }
+
+    @Override
+    public void probe(HostId host) {
+        action("CHECK").append(' ').append(host.name()).append('\n');
+    }
+
+    @Override
+    public void closeIdle(HostId host) {
+        action("LET_GO").append(' ').append(host.name()).append('\n');
+    }
+
+    @Override
+    public void watchRoster(boolean on) {
+        action("STREAM_CHANGES").append(on ? " 1\n" : " 0\n");
+    }
+
+    @Override
+    public void askRoster() {
+        action("PULL").append('\n');
+    }
+
+    @Override
+    public void tellNode(int node, byte[] content) {
+        action("SHARE").append(' ').append(node).append(' ').append(base64(content)).append('\n');
+    }
+
+    @Override
+    public void tellAllNodes(byte[] content) {
+        action("SHARE").append(" * ").append(base64(content)).append('\n');
+    }
+
+    @Override
+    public void wakeAfter(double delay) {
+        action("WAKE_ME").append(' ');
+        // One kind of wake-up is enough: the token tells nothing.
+        micros(delay).append(" 0\n");
+    }
+
+    @Override
+    public void note(String line) {
+        action("JOURNAL_LINE").append(' ').append(line.replaceAll("\\s+", " ")).append('\n');
+    }
+
+    void broken(Throwable error) {
+        action("EXCEPTION").append(' ').append(String.valueOf(error).replaceAll("\\s+", " ")).append('\n');
+    }
+
+    private static String base64(byte[] content) {
+        return content.length == 0 ? "-" : Base64.getEncoder().encodeToString(content);
+    }
+
+    private void seconds(double value) {
+        if (value == 0) {
+            reply.append("0\n");
+        } else {
+            micros(value).append('\n');
+        }
+    }
+
+    /** Seconds with their microseconds, rounded up, without the cost or the exponents of a double's text. */
+    private StringBuilder micros(double seconds) {
+        long total = (long) Math.ceil(seconds * 1e6 - 1e-3);
+        if (total < 0) {
+            reply.append('-');
+            total = -total;
+        }
+        reply.append(total / 1_000_000);
+        long rest = total % 1_000_000;
+        if (rest != 0) {
+            String digits = Long.toString(1_000_000 + rest);
+            reply.append('.').append(digits, 1, 7);
+        }
+        return reply;
+    }
+}
--- /dev/null
+++ b/src/main/java/embershift/model/Deployment.java
@@ -0,0 +1,24 @@
+package embershift.model;
+
+import java.util.List;
+
+/** What a node is told of its deployment when it starts. */
+public record Deployment(
+        long seed, int nodes, ZoneId zone, List<Profile> profiles,
+        boolean rosterOnRequest, double mustAskWithin,
+        boolean mayProbe, boolean reportsLoad, boolean mayCancel, boolean mayOverlap, int mostSetups,
+        boolean adviceOnReturn, double longestReturn, double connectTimeout, double answerSlack,
+        double drainGrace, double coldFrom, double warmAfter, double fallMultiple, double fallAfter,
+        boolean tunnelsPassThrough, double parkedFor) {
+
+    /** One profile's figures: times in seconds, credit as the deployment counts it. */
+    public record Profile(ProfileId id, Repeat repeat, DedupScope dedupScope, double dedupWindow,
+                          double setupGoal, double clientTimeout, double credit) {
+    }
+
+    /** What running a tunnel's setup a second time would do. */
+    public enum Repeat { REPEATABLE, REFERENCED, ONCE_ONLY }
+
+    /** Which hosts drop the repeats of a referenced tunnel. */
+    public enum DedupScope { ALL, ZONE, CELL }
+}
--- /dev/null
+++ b/src/main/java/embershift/model/HostId.java
@@ -0,0 +1,5 @@
+package embershift.model;
+
+/** A session host, under the name by which setups are sent to it. */
+public record HostId(String name) {
+}
--- /dev/null
+++ b/src/main/java/embershift/model/News.java
@@ -0,0 +1,47 @@
+package embershift.model;
+
+import java.util.List;
+
+/**
+ * What a node hears, one call for each piece of news, in the order in which it came in. News of tunnels,
+ * setups or hosts that are over or unknown has no effect. Times are seconds.
+ */
+public interface News {
+
+    /** The complete roster; {@code remembered} when it is only the copy that the node held before it started. */
+    void rosterListed(List<Listing> listings, boolean remembered);
+
+    void rosterChanged(List<Listing> listings);
+
+    /** A call to the roster failed, or its watch broke; what was listed before still stands. */
+    void rosterLost();
+
+    /** The node now owes this tunnel one final answer; tenant, subject and group are null where not given. */
+    void tunnelArrived(TunnelId id, ProfileId profile, TenantId tenant, SubjectId subject, GroupId group,
+                       double timeLeft, boolean midFlow);
+
+    /** A tunnel that already stood when the node started; its first setup counts as number 0. */
+    void tunnelStanding(TunnelId id, ProfileId profile, TenantId tenant, SubjectId subject, GroupId group,
+                        HostId host);
+
+    void tunnelOpened(TunnelId id, int setup, HostId host, double took);
+
+    /** The client left, or the final answer was overdue; setups still out will end by themselves. */
+    void tunnelLeft(TunnelId id);
+
+    /** {@code over}: the tunnel has had its final answer, with this end or before. */
+    void setupEnded(TunnelId id, int setup, HostId host, SetupEnd end, double took, boolean over);
+
+    /** A standing tunnel's load now, in seconds of work a second. */
+    void tunnelLoadNoted(TunnelId id, double load);
+
+    /** How long a message takes at this host now. */
+    void messageDelayNoted(HostId host, double delay);
+
+    void probeEnded(HostId host, boolean answered, double took);
+
+    /** A host's own figures; NaN for each that it does not report. */
+    void hostReported(HostId host, double loadOverCapacity, double openTunnels, double queued);
+
+    void nodeHeard(int node, byte[] content);
+}
--- /dev/null
+++ b/src/main/java/embershift/model/ProfileId.java
@@ -0,0 +1,5 @@
+package embershift.model;
+
+/** A tunnel's profile. */
+public record ProfileId(String name) {
+}
--- /dev/null
+++ b/src/main/java/embershift/model/SetupEnd.java
@@ -0,0 +1,18 @@
+package embershift.model;
+
+/** How a setup, or the tunnel that came of it, ended. */
+public enum SetupEnd {
+    COMPLETED(false), ERROR(false), TIMED_OUT(false), BROKEN(false), CANCELLED(false),
+    FULL(true), NO_CONNECTION(true), NOT_SENT(true);
+
+    private final boolean neverRan;
+
+    SetupEnd(boolean neverRan) {
+        this.neverRan = neverRan;
+    }
+
+    /** Whether this end proves that nothing ran on the host. */
+    public boolean neverRan() {
+        return neverRan;
+    }
+}
--- /dev/null
+++ b/src/main/java/embershift/model/TenantId.java
@@ -0,0 +1,5 @@
+package embershift.model;
+
+/** A participant. */
+public record TenantId(String name) {
+}
