--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -40,6 +40,8 @@
     private static final double ROOMY = 0.6;
     /** Load over capacity from which a host's messages come too late, so that tunnels are better off elsewhere. */
     private static final double SINKING = 0.9;
+    /** Load over capacity from which a host takes no more: past it, all its tunnels fare badly, not just the new. */
+    private static final double BRIMFUL = 0.9;
     /** A host is active while its load is no more than this multiple of the mean. */
     private static final double LEVEL_SLACK = 1.05;
     /** A setup that has little time left, against its goal, is not worth sending. */
@@ -372,7 +374,9 @@
             return null;
         }
         double mean = figures(eligible);
-        return drawn(narrowed(tunnel, eligible, mean));
+        // One tunnel too many ends in hosts that shed tunnels, whose clients come again at once: declines cost less.
+        eligible.removeIf(host -> host.count > BRIMFUL && deployment.reportsCapacity());
+        return eligible.isEmpty() ? null : drawn(narrowed(tunnel, eligible, mean));
     }
 
     /** Who counts as active for this tunnel: hosts no busier than the mean, with its group or near if there are. */
--- a/src/main/java/embershift/adapter/FirstMessage.java
+++ b/src/main/java/embershift/adapter/FirstMessage.java
@@ -48,7 +48,7 @@
         boolean asked = oneOf("discovery", Map.of("subscribe", true, "automatic", false));
         return new Deployment(seed, (int) number("balancers"), new ZoneId(pairs.getOrDefault("az", "-")), profiles,
                 asked, asked ? number("rules.must-ask-in-s") : 0,
-                flag("limits.may-probe"), !"silent".equals(pairs.get("report.how")), flag("limits.may-cancel"),
+                flag("limits.may-probe"), reportColumns().contains("x0"), flag("limits.may-cancel"),
                 flag("limits.may-duplicate"), (int) number("limits.most-setups"),
                 flag("limits.retry-after"), numberOr("limits.max-retry-after-s", 0),
                 numberOr("limits.connect-timeout-s", 0), numberOr("rules.answer-slack-s", 0),
