--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -375,7 +375,7 @@
         }
         double mean = figures(eligible);
         // One tunnel too many ends in hosts that shed tunnels, whose clients come again at once: declines cost less.
-        eligible.removeIf(host -> host.count > BRIMFUL && deployment.reportsCapacity());
+        eligible.removeIf(host -> host.expectedLoad() > BRIMFUL && deployment.reportsCapacity());
         return eligible.isEmpty() ? null : drawn(narrowed(tunnel, eligible, mean));
     }
 
@@ -405,7 +405,7 @@
         int heard = 0;
         for (Host host : active) {
             if (!Double.isNaN(host.load)) {
-                host.count = host.load + host.placedSinceReport * host.loadOfOne();
+                host.count = host.expectedLoad();
                 sum += host.count;
                 heard++;
             }
@@ -492,6 +492,11 @@
     private void judge(Host host, SetupEnd end, boolean stood) {
         switch (end) {
             case ERROR, BROKEN, TIMED_OUT -> {
+                if (stood) {
+                    // A host that sheds tunnels tells it by its load, one that died by not answering.
+                    host.nextProbe = Math.min(host.nextProbe, now);
+                    return;
+                }
                 host.outcomes.add(now, 1, 1);
                 host.failuresInRow++;
                 host.shunnedUntil = now + SHUN * PERIOD * Math.min(4, host.failuresInRow);
@@ -704,6 +709,11 @@
             return coldCredit >= 1;
         }
 
+        /** The latest figure, with what this node has placed since; NaN for a host not heard from. */
+        double expectedLoad() {
+            return load + placedSinceReport * loadOfOne();
+        }
+
         /** What one of this node's tunnels adds to the load figure, and those that other nodes place meanwhile. */
         double loadOfOne() {
             double there = Double.isNaN(openThere) ? own.size() * deployment.nodes() : openThere;
