--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -17,6 +17,7 @@
 import embershift.model.ZoneId;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -38,6 +39,8 @@
     private static final double SPAN = 256;
     /** Load over capacity up to which a nearer host, or one holding the tunnel's group, still counts as active. */
     private static final double ROOMY = 0.6;
+    /** Numbers drawn for a group before its tunnel is placed like any other. */
+    private static final int GROUP_DRAWS = 4;
     /** Load over capacity from which a host's messages come too late, so that tunnels are better off elsewhere. */
     private static final double SINKING = 0.9;
     /** Load over capacity from which a host takes no more: past it, all its tunnels fare badly, not just the new. */
@@ -52,7 +55,7 @@
     private final Deployment deployment;
     private final Map<ProfileId, Profile> profiles = new HashMap<>();
     private final Map<HostId, Host> hosts = new HashMap<>();
-    /** The hosts in the order in which the roster first named them: the one order of every loop. */
+    /** The hosts by name: the one order of every loop. */
     private final List<Host> roll = new ArrayList<>();
     private final Map<TunnelId, Tunnel> table = new LinkedHashMap<>();
     /** Where packets of a passed-through tunnel last went, to send them there again while they are kept. */
@@ -121,8 +124,7 @@
             if (host == null) {
                 host = new Host(listing.host());
                 host.nextProbe = now;
-                hosts.put(host.id, host);
-                roll.add(host);
+                enrol(host);
             }
             if (listing.launchedAt() > host.launchedAt) {
                 host.launchedAt = listing.launchedAt();
@@ -137,6 +139,16 @@
         rosterAnswered();
     }
 
+    /** Keeps the roll in one order at all nodes: the intervals of the draw lie alike. */
+    private void enrol(Host host) {
+        hosts.put(host.id, host);
+        int at = 0;
+        while (at < roll.size() && roll.get(at).id.name().compareTo(host.id.name()) < 0) {
+            at++;
+        }
+        roll.add(at, host);
+    }
+
     private void rosterAnswered() {
         if (deployment.rosterOnRequest() && watching) {
             rosterCallAt = Double.POSITIVE_INFINITY;
@@ -191,8 +203,7 @@
         }
         if (host == null) {
             host = new Host(at);
-            hosts.put(at, host);
-            roll.add(host);
+            enrol(host);
         }
         Tunnel tunnel = new Tunnel(id, row, subject, group, Double.POSITIVE_INFINITY);
         tunnel.setups = 1;
@@ -376,19 +387,51 @@
         double mean = figures(eligible);
         // One tunnel too many ends in hosts that shed tunnels, whose clients come again at once: declines cost less.
         eligible.removeIf(host -> host.expectedLoad() > BRIMFUL && deployment.reportsCapacity());
-        return eligible.isEmpty() ? null : drawn(narrowed(tunnel, eligible, mean));
+        if (eligible.isEmpty()) {
+            return null;
+        }
+        Host home = tunnel.group == null ? null : drawnForGroup(tunnel, eligible, mean);
+        return home != null ? home : drawn(narrowed(eligible, mean), chance() * SPAN);
     }
 
-    /** Who counts as active for this tunnel: hosts no busier than the mean, with its group or near if there are. */
-    private List<Host> narrowed(Tunnel tunnel, List<Host> eligible, double mean) {
+    /**
+     * Each host that holds any of a group pays for it, and nodes don't know what others hold. So the number is
+     * drawn for the group, not the tunnel: nodes with like weights find the same host; redrawn while that is busy.
+     */
+    private Host drawnForGroup(Tunnel tunnel, List<Host> eligible, double mean) {
         List<Host> holding = new ArrayList<>();
-        List<Host> level = new ArrayList<>();
-        List<Host> near = new ArrayList<>();
         for (Host host : eligible) {
-            boolean roomy = host.count <= Math.max(mean * LEVEL_SLACK, ROOMY);
-            if (roomy && tunnel.group != null && host.groups.containsKey(tunnel.group)) {
+            if (host.groups.containsKey(tunnel.group) && host.count <= Math.max(mean * LEVEL_SLACK, ROOMY)) {
                 holding.add(host);
             }
+        }
+        if (!holding.isEmpty()) {
+            return drawn(holding, chance() * SPAN);
+        }
+        List<Host> listed = new ArrayList<>();
+        for (Host host : roll) {
+            if (host.takesNew()) {
+                listed.add(host);
+            }
+        }
+        figures(listed);
+        for (int k = 0; k < GROUP_DRAWS; k++) {
+            CRC32 crc = new CRC32();
+            crc.update(tunnel.group.name().getBytes(StandardCharsets.UTF_8));
+            crc.update(k);
+            Host host = drawn(listed, crc.getValue() / (double) (1L << 32) * SPAN);
+            if (eligible.contains(host) && host.count <= Math.max(mean * LEVEL_SLACK, ROOMY)) {
+                return host;
+            }
+        }
+        return null;
+    }
+
+    /** Who counts as active for this tunnel: hosts no busier than the mean, and near if there are any. */
+    private List<Host> narrowed(List<Host> eligible, double mean) {
+        List<Host> level = new ArrayList<>();
+        List<Host> near = new ArrayList<>();
+        for (Host host : eligible) {
             if (host.count <= mean * LEVEL_SLACK) {
                 level.add(host);
                 if (deployment.zone().equals(host.zone)) {
@@ -396,7 +439,7 @@
                 }
             }
         }
-        return !holding.isEmpty() ? holding : !near.isEmpty() ? near : !level.isEmpty() ? level : eligible;
+        return !near.isEmpty() ? near : !level.isEmpty() ? level : eligible;
     }
 
     /** Sets each host's count to its latest load figure, own placements since added, and returns their mean. */
@@ -419,7 +462,7 @@
         return mean;
     }
 
-    private Host drawn(List<Host> active) {
+    private Host drawn(List<Host> active, double mark) {
         int n = active.size();
         if (n == 1) {
             return active.get(0);
@@ -428,7 +471,6 @@
         for (Host host : active) {
             total += host.count;
         }
-        double mark = chance() * SPAN;
         for (Host host : active) {
             mark -= weight(host.count, total, n);
             if (mark < 0) {
