--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -44,7 +44,7 @@
     /** Load over capacity from which a host's messages come too late, so that tunnels are better off elsewhere. */
     private static final double SINKING = 0.9;
     /** Load over capacity from which a host takes no more: past it, all its tunnels fare badly, not just the new. */
-    private static final double BRIMFUL = 0.9;
+    private static final double BRIMFUL = 0.8;
     /** A host is active while its load is no more than this multiple of the mean. */
     private static final double LEVEL_SLACK = 1.05;
     /** A setup that has little time left, against its goal, is not worth sending. */
