--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -19,6 +19,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -526,6 +527,7 @@
                 host.load = load;
                 host.openThere = openTunnels;
                 host.placedSinceReport = 0;
+                host.freshReport = true;
             }
         }
     }
@@ -576,29 +578,29 @@
             return;
         }
         nextMoves = now + PERIOD;
-        List<Host> able = new ArrayList<>();
         for (Host host : roll) {
-            if (host.takesNew() && !host.silent && !host.shunned()) {
-                able.add(host);
-            }
-        }
-        double mean = figures(able);
-        for (Host host : able) {
-            if (host.load > SINKING && mean < ROOMY && host.placedSinceReport == 0) {
-                moveSome(host, (host.load - mean) / host.load / 2);
+            if (host.load > SINKING && host.freshReport && deployment.reportsCapacity() && !host.cold()) {
+                host.freshReport = false;
+                // Every node moves the same part of its own, so together they move what is too much.
+                moveSome(host, (host.load - BRIMFUL) / host.load);
             }
         }
     }
 
     private void moveSome(Host host, double share) {
-        int left = (int) Math.ceil(share * host.own.size());
-        for (Tunnel tunnel : new ArrayList<>(host.own.values())) {
-            if (left > 0 && tunnel.open && !tunnel.moving) {
-                tunnel.moving = true;
-                decisions.move(tunnel.id);
-                left--;
+        List<Tunnel> standing = new ArrayList<>();
+        for (Tunnel tunnel : host.own.values()) {
+            if (tunnel.open && !tunnel.moving) {
+                standing.add(tunnel);
             }
         }
+        standing.sort(Comparator.comparingDouble(tunnel -> tunnel.profile.credit()));
+        double part = share * standing.size();
+        int many = (int) part + (chance() < part - (int) part ? 1 : 0);
+        for (Tunnel tunnel : standing.subList(0, Math.min(many, standing.size()))) {
+            tunnel.moving = true;
+            decisions.move(tunnel.id);
+        }
     }
 
     // ---- Time ----
@@ -705,6 +707,7 @@
         double openThere = Double.NaN;
         double count;
         int placedSinceReport;
+        boolean freshReport;
         int failuresInRow;
         double shunnedUntil = Double.NEGATIVE_INFINITY;
         boolean silent;
