--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -18,9 +18,12 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -61,8 +64,17 @@
     private final Map<TunnelId, Tunnel> table = new LinkedHashMap<>();
     /** Where packets of a passed-through tunnel last went, to send them there again while they are kept. */
     private final Map<SubjectId, Parting> partings = new LinkedHashMap<>();
+    private final Ring opened = new Ring(4, PERIOD / 2);
     private final Ring sent = new Ring(8, 2 * PERIOD);
 
+    /** Setups of all hosts that ended, and those that failed on the host: what many share is no host's fault. */
+    private final Ring ended = new Ring(4, PERIOD / 4);
+    private final Deque<Tunnel> waiting = new ArrayDeque<>();
+    private int out;
+    /** Setups that may be out together; unlimited until setups fail at many hosts. */
+    private double window = Double.POSITIVE_INFINITY;
+    private double windowCutAt = Double.NEGATIVE_INFINITY;
+
     private double now = Double.NEGATIVE_INFINITY;
     private Decisions decisions;
     private long draws;
@@ -94,6 +106,7 @@
             rosterCallAt = now + chance() * rosterPatience / 2;
         }
         arrivals.accept(this);
+        placeWaiting();
         followRoster();
         probe();
         moveOffSinkingHosts();
@@ -219,6 +232,9 @@
         Tunnel tunnel = table.get(id);
         if (tunnel != null && setup == tunnel.setups - 1 && tunnel.out) {
             tunnel.out = false;
+            out--;
+            opened.add(now, 0, 1);
+            pace(false);
             tunnel.open = true;
             tunnel.host.outcomes.add(now, 0, 1);
             tunnel.host.failuresInRow = 0;
@@ -230,8 +246,11 @@
         Tunnel tunnel = table.remove(id);
         if (tunnel != null) {
             leave(tunnel);
-            if (tunnel.out && deployment.mayCancel()) {
-                decisions.cancel(id, tunnel.setups - 1);
+            if (tunnel.out) {
+                out--;
+                if (deployment.mayCancel()) {
+                    decisions.cancel(id, tunnel.setups - 1);
+                }
             }
         }
     }
@@ -249,7 +268,13 @@
         }
         if (current) {
             leave(tunnel);
-            tunnel.out = false;
+            if (tunnel.out) {
+                tunnel.out = false;
+                out--;
+                if (end == SetupEnd.ERROR || end == SetupEnd.TIMED_OUT) {
+                    pace(true);
+                }
+            }
         }
         if (over) {
             table.remove(id);
@@ -281,11 +306,19 @@
         double left = tunnel.clientGivesUpAt - now;
         boolean worthSending = tunnel.setups < deployment.mostSetups()
                 && left > LEAST_OF_GOAL * tunnel.profile.setupGoal() && mayRunAgain(tunnel);
-        Host host = worthSending ? draw(tunnel) : null;
+        if (worthSending && out >= window && mayWait(tunnel)) {
+            waiting.add(tunnel);
+            return;
+        }
+        Host host = worthSending && out < window ? draw(tunnel) : null;
         if (host != null) {
             send(tunnel, host);
-            return;
+        } else {
+            giveUp(tunnel);
         }
+    }
+
+    private void giveUp(Tunnel tunnel) {
         table.remove(tunnel.id);
         if (mayDecline(tunnel)) {
             decisions.decline(tunnel.id, returnAdvice());
@@ -294,6 +327,42 @@
         }
     }
 
+    /** Whether its turn is likely to come while the client still waits and a setup still has time. */
+    private boolean mayWait(Tunnel tunnel) {
+        double turn = (waiting.size() + 1) / Math.max(1, opened.rate(now));
+        return now + turn + tunnel.profile.setupGoal() < tunnel.clientGivesUpAt;
+    }
+
+    private void placeWaiting() {
+        for (Iterator<Tunnel> turn = waiting.iterator(); turn.hasNext();) {
+            Tunnel tunnel = turn.next();
+            if (!table.containsKey(tunnel.id)) {
+                turn.remove();
+            } else if (now + tunnel.profile.setupGoal() / 2 >= tunnel.clientGivesUpAt) {
+                // Rule 1: tunnels wait with unlike time left, so any of them may run out of it first.
+                turn.remove();
+                giveUp(tunnel);
+            }
+        }
+        while (out < window && !waiting.isEmpty()) {
+            place(waiting.remove());
+        }
+    }
+
+    /**
+     * Guards the session store, or whatever else all setups share: where they fail at many hosts, sending more
+     * makes more fail, so the setups out together are halved, and grow again by one for each such number opened.
+     */
+    private void pace(boolean failed) {
+        ended.add(now, failed ? 1 : 0, 1);
+        if (!failed) {
+            window += 1 / window;
+        } else if (now >= windowCutAt + PERIOD / 4 && ended.sum(now) > Math.max(3, ended.count(now) / 3.0)) {
+            windowCutAt = now;
+            window = Math.max(1, Math.min(window, out + 1) / 2);
+        }
+    }
+
     /** Rule 2: what may have run is not sent again unless that is harmless. */
     private boolean mayRunAgain(Tunnel tunnel) {
         return switch (tunnel.profile.repeat()) {
@@ -337,6 +406,7 @@
         }
         tunnel.setups++;
         tunnel.out = true;
+        out++;
         tunnel.host = host;
         host.admit(tunnel);
         host.placedSinceReport++;
@@ -607,6 +677,9 @@
 
     private void wake() {
         double next = Math.min(rosterCallAt, nextMoves);
+        if (!waiting.isEmpty()) {
+            next = Math.min(next, now + PERIOD / 10);
+        }
         for (Host host : roll) {
             if (deployment.mayProbe() && host.listed && host.state != Listing.State.GONE && !host.probing) {
                 next = Math.min(next, host.nextProbe);
@@ -649,6 +722,28 @@
             numbers[Math.floorMod(newest, values.length)] += number;
         }
 
+        double sum(double time) {
+            turnTo(time);
+            double sum = 0;
+            for (double value : values) {
+                sum += value;
+            }
+            return sum;
+        }
+
+        int count(double time) {
+            turnTo(time);
+            int count = 0;
+            for (int number : numbers) {
+                count += number;
+            }
+            return count;
+        }
+
+        double rate(double time) {
+            return count(time) / (length * numbers.length);
+        }
+
         /** Events a second, as the median of the full buckets: a short wave does not raise it. */
         double usualRate(double time) {
             turnTo(time);
