--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -49,6 +49,8 @@
     private static final double SINKING = 0.9;
     /** Load over capacity from which a host takes no more: past it, all its tunnels fare badly, not just the new. */
     private static final double BRIMFUL = 0.8;
+    /** Periods between two moves off a host. */
+    private static final double MOVE_PAUSE = 2;
     /** A host is active while its load is no more than this multiple of the mean. */
     private static final double LEVEL_SLACK = 1.05;
     /** A setup that has little time left, against its goal, is not worth sending. */
@@ -597,7 +599,6 @@
                 host.load = load;
                 host.openThere = openTunnels;
                 host.placedSinceReport = 0;
-                host.freshReport = true;
             }
         }
     }
@@ -649,8 +650,9 @@
         }
         nextMoves = now + PERIOD;
         for (Host host : roll) {
-            if (host.load > SINKING && host.freshReport && deployment.reportsCapacity() && !host.cold()) {
-                host.freshReport = false;
+            if (host.load > SINKING && now >= host.nextMove && deployment.reportsCapacity() && !host.cold()) {
+                // Reports lag: what was moved since shows only in later ones.
+                host.nextMove = now + MOVE_PAUSE * PERIOD;
                 // Every node moves the same part of its own, so together they move what is too much.
                 moveSome(host, (host.load - BRIMFUL) / host.load);
             }
@@ -664,7 +666,9 @@
                 standing.add(tunnel);
             }
         }
-        standing.sort(Comparator.comparingDouble(tunnel -> tunnel.profile.credit()));
+        // The last of a group to leave takes the group's cost along, so tunnels with few of theirs here go first.
+        standing.sort(Comparator.<Tunnel>comparingInt(tunnel -> host.held(tunnel.group))
+                .thenComparingDouble(tunnel -> tunnel.profile.credit()));
         double part = share * standing.size();
         int many = (int) part + (chance() < part - (int) part ? 1 : 0);
         for (Tunnel tunnel : standing.subList(0, Math.min(many, standing.size()))) {
@@ -802,7 +806,7 @@
         double openThere = Double.NaN;
         double count;
         int placedSinceReport;
-        boolean freshReport;
+        double nextMove = Double.NEGATIVE_INFINITY;
         int failuresInRow;
         double shunnedUntil = Double.NEGATIVE_INFINITY;
         boolean silent;
@@ -860,6 +864,10 @@
             return there < 1 ? 0 : load / there * deployment.nodes();
         }
 
+        int held(GroupId group) {
+            return group == null ? 0 : groups.getOrDefault(group, 0);
+        }
+
         void admit(Tunnel tunnel) {
             own.put(tunnel.id, tunnel);
             if (tunnel.group != null) {
