--- /dev/null
+++ b/src/test/java/embershift/Node.java
@@ -0,0 +1,164 @@
+package embershift;
+
+import embershift.model.Decisions;
+import embershift.model.Deployment;
+import embershift.model.Deployment.DedupScope;
+import embershift.model.Deployment.Profile;
+import embershift.model.Deployment.Repeat;
+import embershift.model.GroupId;
+import embershift.model.HostId;
+import embershift.model.Listing;
+import embershift.model.News;
+import embershift.model.ProfileId;
+import embershift.model.SetupEnd;
+import embershift.model.TunnelId;
+import embershift.model.ZoneId;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** A module with hosts h0, h1, ... in zone near (even) or far (odd), and its decisions as lines, for the tests. */
+final class Node implements Decisions {
+
+    final Policy policy;
+    final List<String> said = new ArrayList<>();
+    double now = 100;
+
+    Node(Repeat repeat, DedupScope scope, int hosts, long seed) {
+        Profile profile = new Profile(new ProfileId("p"), repeat, scope, 2, 0.5, 3, 1);
+        policy = new Policy(new Deployment(seed, 1, new ZoneId("near"), List.of(profile), true, 10,
+                true, true, true, false, 4, true, 1.5, 0.25, 0.016, 0.5, 0.3, 8, 3, 2, false, 0));
+        List<Listing> listings = new ArrayList<>();
+        for (int i = 0; i < hosts; i++) {
+            listings.add(listing(i, Listing.State.READY, 0));
+        }
+        round(news -> news.rosterListed(listings, true));
+    }
+
+    Node(int hosts) {
+        this(Repeat.REPEATABLE, DedupScope.ALL, hosts, 1);
+    }
+
+    static Listing listing(int host, Listing.State state, double launchedAt) {
+        return new Listing(host(host), state, new ZoneId(host % 2 == 0 ? "near" : "far"), 1, host / 2, launchedAt);
+    }
+
+    static HostId host(int i) {
+        return new HostId("h" + i);
+    }
+
+    static TunnelId tun(int i) {
+        return new TunnelId("t" + i);
+    }
+
+    /** Plays one round and returns what was decided in it. */
+    List<String> round(Consumer<News> arrivals) {
+        said.clear();
+        policy.round(now, arrivals, this);
+        return List.copyOf(said);
+    }
+
+    /** One round in which hosts 0, 1, ... report these loads over capacity. */
+    Node loads(double... loads) {
+        round(news -> {
+            for (int i = 0; i < loads.length; i++) {
+                news.probeEnded(host(i), true, 0.01);
+                news.hostReported(host(i), loads[i], Double.NaN, Double.NaN);
+            }
+        });
+        return this;
+    }
+
+    List<String> arrive(int first, int many, String group) {
+        return round(news -> {
+            for (int i = first; i < first + many; i++) {
+                news.tunnelArrived(tun(i), new ProfileId("p"), null, null,
+                        group == null ? null : new GroupId(group), 3, false);
+            }
+        });
+    }
+
+    List<String> end(int tunnel, int setup, int host, SetupEnd end) {
+        return round(news -> news.setupEnded(tun(tunnel), setup, host(host), end, 0.1, false));
+    }
+
+    /** The host of the last setup sent, -1 if there was none. */
+    int lastHost() {
+        for (int i = said.size() - 1; i >= 0; i--) {
+            if (said.get(i).startsWith("set up")) {
+                return Integer.parseInt(said.get(i).split(" h")[1]);
+            }
+        }
+        return -1;
+    }
+
+    long count(String start) {
+        return said.stream().filter(line -> line.startsWith(start)).count();
+    }
+
+    @Override
+    public void setUp(TunnelId id, HostId host, double timeOut) {
+        said.add("set up " + id.name() + " " + host.name());
+    }
+
+    @Override
+    public void cancel(TunnelId id, int setup) {
+        said.add("cancel " + id.name() + " " + setup);
+    }
+
+    @Override
+    public void decline(TunnelId id, double returnAfter) {
+        said.add("decline " + id.name() + (returnAfter > 0 ? " with advice" : ""));
+    }
+
+    @Override
+    public void closeWithError(TunnelId id) {
+        said.add("close " + id.name());
+    }
+
+    @Override
+    public void move(TunnelId id) {
+        said.add("move " + id.name());
+    }
+
+    @Override
+    public void probe(HostId host) {
+        said.add("probe " + host.name());
+    }
+
+    @Override
+    public void closeIdle(HostId host) {
+        said.add("close idle " + host.name());
+    }
+
+    @Override
+    public void watchRoster(boolean on) {
+        said.add("watch roster");
+    }
+
+    @Override
+    public void askRoster() {
+        said.add("ask roster");
+    }
+
+    @Override
+    public void tellNode(int node, byte[] content) {
+        said.add("tell " + node);
+    }
+
+    @Override
+    public void tellAllNodes(byte[] content) {
+        said.add("tell all");
+    }
+
+    @Override
+    public void wakeAfter(double delay) {
+        said.add("wake");
+    }
+
+    @Override
+    public void note(String line) {
+        said.add("note " + line);
+    }
+}
--- /dev/null
+++ b/src/test/java/embershift/PolicyTest.java
@@ -0,0 +1,268 @@
+package embershift;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import embershift.model.Deployment.DedupScope;
+import embershift.model.Deployment.Repeat;
+import embershift.model.GroupId;
+import embershift.model.Listing;
+import embershift.model.News;
+import embershift.model.ProfileId;
+import embershift.model.SetupEnd;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+public class PolicyTest {
+
+    @DataProvider
+    public Object[][] weights() {
+        return new Object[][] {
+            {0.2, 1.0, 2, 204.8}, {0.8, 1.0, 2, 51.2}, {0.5, 1.5, 3, 256 / 3.0}, {0, 0, 4, 64}, {0.7, 0.7, 1, 256}};
+    }
+
+    @Test(dataProvider = "weights")
+    public void weightsAreInverseRatiosOfTheLoad(double count, double total, int n, double weight) {
+        assertEquals(Policy.weight(count, total, n), weight, 1e-9);
+    }
+
+    @Test
+    public void equalHostsAreDrawnAlike() {
+        Node node = new Node(4).loads(0, 0, 0, 0);
+        node.arrive(0, 400, null);
+        for (int host : new int[] {0, 2}) {
+            long there = node.said.stream().filter(line -> line.endsWith(" h" + host)).count();
+            assertTrue(there > 160 && there < 240, "h" + host + " was given " + there);
+        }
+    }
+
+    @Test
+    public void sameSeedAndNewsGiveSameDecisions() {
+        List<String> one = new Node(6).loads(0.1, 0.2, 0.3, 0.4, 0.5, 0.2).arrive(0, 50, null);
+        assertEquals(new Node(6).loads(0.1, 0.2, 0.3, 0.4, 0.5, 0.2).arrive(0, 50, null), one);
+    }
+
+    @Test
+    public void hostNotHeardFromTakesTheMean() {
+        Node node = new Node(3).loads(0.2, 0.4);
+        node.arrive(0, 200, null);
+        assertTrue(node.said.stream().anyMatch(line -> line.endsWith(" h2")));
+    }
+
+    @Test
+    public void drainingAndGoneHostsGetNothing() {
+        Node node = new Node(3).loads(0.1, 0.1, 0.1);
+        node.round(news -> news.rosterChanged(List.of(Node.listing(0, Listing.State.DRAINING, 0),
+                Node.listing(2, Listing.State.GONE, 0))));
+        node.arrive(0, 20, null);
+        assertEquals(node.said.stream().filter(line -> line.endsWith(" h1")).count(), 20);
+    }
+
+    @Test
+    public void hostAbsentFromACompleteListIsGone() {
+        Node node = new Node(2).loads(0.1, 0.1);
+        node.round(news -> news.rosterListed(List.of(Node.listing(1, Listing.State.READY, 0)), false));
+        node.arrive(0, 1, null);
+        assertEquals(node.lastHost(), 1);
+    }
+
+    @Test
+    public void onceOnlyThatMayHaveRunIsClosedWithError() {
+        Node node = new Node(Repeat.ONCE_ONLY, DedupScope.ALL, 4, 1).loads(0.1, 0.1, 0.1, 0.1);
+        node.arrive(0, 1, null);
+        assertEquals(node.end(0, 0, node.lastHost(), SetupEnd.BROKEN).get(0), "close t0");
+    }
+
+    @Test
+    public void onceOnlyThatNeverRanIsSentElsewhere() {
+        Node node = new Node(Repeat.ONCE_ONLY, DedupScope.ALL, 4, 1).loads(0.1, 0.1, 0.1, 0.1);
+        node.arrive(0, 1, null);
+        int first = node.lastHost();
+        node.end(0, 0, first, SetupEnd.FULL);
+        assertTrue(node.lastHost() >= 0);
+        assertNotEquals(node.lastHost(), first);
+    }
+
+    @DataProvider
+    public Object[][] scopes() {
+        return new Object[][] {{DedupScope.ZONE}, {DedupScope.CELL}};
+    }
+
+    @Test(dataProvider = "scopes")
+    public void referencedThatMayHaveRunStaysInItsGroupOfHosts(DedupScope scope) {
+        Node node = new Node(Repeat.REFERENCED, scope, 8, 1).loads(0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1);
+        node.arrive(0, 1, null);
+        int first = node.lastHost();
+        node.end(0, 0, first, SetupEnd.ERROR);
+        boolean same = scope == DedupScope.ZONE ? node.lastHost() % 2 == first % 2 : node.lastHost() / 2 == first / 2;
+        assertTrue(same, first + " then " + node.lastHost());
+    }
+
+    @Test
+    public void referencedPastItsWindowIsNeitherSentNorDeclined() {
+        Node node = new Node(Repeat.REFERENCED, DedupScope.ALL, 4, 1).loads(0.1, 0.1, 0.1, 0.1);
+        node.arrive(0, 1, null);
+        node.now += 2.1;
+        assertEquals(node.end(0, 0, node.lastHost(), SetupEnd.ERROR).get(0), "close t0");
+    }
+
+    @Test
+    public void repeatableIsDeclinedAfterItsLastSetup() {
+        Node node = new Node(4).loads(0.1, 0.1, 0.1, 0.1);
+        node.arrive(0, 1, null);
+        for (int setup = 0; setup < 3; setup++) {
+            node.end(0, setup, node.lastHost(), SetupEnd.FULL);
+            assertEquals(node.count("set up"), 1);
+        }
+        assertEquals(node.end(0, 3, 0, SetupEnd.FULL).get(0), "decline t0 with advice");
+    }
+
+    @Test
+    public void newsOfWhatIsOverOrUnknownHasNoEffect() {
+        Node node = new Node(2).loads(0.1, 0.1);
+        node.arrive(0, 1, null);
+        node.round(news -> news.tunnelLeft(Node.tun(0)));
+        node.round(news -> {
+            news.setupEnded(Node.tun(0), 0, Node.host(0), SetupEnd.CANCELLED, 0.1, true);
+            news.tunnelOpened(Node.tun(7), 0, Node.host(9), 0.1);
+            news.hostReported(Node.host(9), 0.5, 1, 1);
+            news.probeEnded(Node.host(9), true, 0.1);
+        });
+        assertFalse(node.said.stream().anyMatch(line -> line.startsWith("set up") || line.startsWith("decline")));
+    }
+
+    @Test
+    public void hostThatFailsFastWeighsZero() {
+        Node node = new Node(4).loads(0.1, 0.1, 0.1, 0.1);
+        node.arrive(0, 1, null);
+        int failing = node.lastHost();
+        node.end(0, 0, failing, SetupEnd.ERROR);
+        node.arrive(1, 50, null);
+        assertFalse(node.said.stream().anyMatch(line -> line.endsWith(" h" + failing)));
+    }
+
+    @Test
+    public void whereMostHostsFailTheDrawIsPlain() {
+        Node node = new Node(4).loads(0.1, 0.1, 0.1, 0.1);
+        node.round(news -> {
+            for (int host = 0; host < 3; host++) {
+                news.setupEnded(Node.tun(host), 0, Node.host(host), SetupEnd.ERROR, 0.1, true);
+            }
+        });
+        node.arrive(0, 50, null);
+        assertTrue(node.said.stream().filter(line -> line.endsWith(" h3")).count() < 50);
+    }
+
+    @Test
+    public void fullHostsGetNoMoreAndTheTunnelIsDeclinedAtOnce() {
+        Node node = new Node(3).loads(0.85, 0.9, 0.95);
+        node.arrive(0, 1, null);
+        assertEquals(node.said.get(0), "decline t0 with advice");
+    }
+
+    @Test
+    public void coldHostIsSentNoMoreThanItsPart() {
+        Node node = new Node(2).loads(0.7, 0.7);
+        node.round(news -> news.rosterChanged(List.of(Node.listing(0, Listing.State.READY, 100))));
+        node.arrive(0, 50, null);
+        assertTrue(node.said.stream().filter(line -> line.endsWith(" h0")).count() <= 1);
+    }
+
+    @Test
+    public void groupGoesWhereItIsHeld() {
+        Node node = new Node(6).loads(0.3, 0.3, 0.3, 0.3, 0.3, 0.3);
+        node.arrive(0, 1, "g");
+        int home = node.lastHost();
+        node.arrive(1, 20, "g");
+        assertEquals(node.said.stream().filter(line -> line.endsWith(" h" + home)).count(), 20);
+    }
+
+    @Test
+    public void nodesThatKnowNoHolderDrawTheSameHostForAGroup() {
+        Set<Integer> homes = new HashSet<>();
+        for (int seed = 1; seed <= 5; seed++) {
+            Node node = new Node(Repeat.REPEATABLE, DedupScope.ALL, 6, seed).loads(0.3, 0.3, 0.3, 0.3, 0.3, 0.3);
+            node.arrive(0, 1, "g");
+            homes.add(node.lastHost());
+        }
+        assertEquals(homes.size(), 1);
+    }
+
+    @Test
+    public void sinkingHostLosesTheLeastHeldGroupsFirst() {
+        Node node = new Node(2);
+        node.round(news -> {
+            for (int i = 0; i < 10; i++) {
+                standing(news, i, i < 8 ? "many" : "few" + i);
+            }
+        });
+        node.now += 2;
+        node.loads(1.0, 0.2);
+        assertEquals(node.said.stream().filter(line -> line.startsWith("move")).toList(),
+                List.of("move t8", "move t9"));
+    }
+
+    private static void standing(News news, int i, String group) {
+        news.tunnelStanding(Node.tun(i), new ProfileId("p"), null, null, new GroupId(group), Node.host(0));
+    }
+
+    @Test
+    public void setupsThatFailEverywhereAreSentFewerAtATime() {
+        Node node = new Node(8).loads(0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1);
+        node.arrive(0, 40, null);
+        List<String> sent = List.copyOf(node.said);
+        node.now += 0.5;
+        node.round(news -> {
+            for (int i = 0; i < 40; i++) {
+                news.setupEnded(Node.tun(i), 0, Node.host(Integer.parseInt(sent.get(i).split(" h")[1])),
+                        SetupEnd.TIMED_OUT, 0.5, true);
+            }
+        });
+        node.arrive(100, 40, null);
+        assertTrue(node.count("set up") < 40 && node.count("set up") > 0, "sent " + node.count("set up"));
+    }
+
+    @Test
+    public void waitingTunnelsAreAnsweredBeforeTheirTime() {
+        Node node = new Node(2).loads(0.1, 0.1);
+        setWindowToOne(node);
+        node.round(news -> {
+            news.tunnelArrived(Node.tun(900), new ProfileId("p"), null, null, null, 3, false);
+            news.tunnelArrived(Node.tun(901), new ProfileId("p"), null, null, null, 30, false);
+            news.tunnelArrived(Node.tun(902), new ProfileId("p"), null, null, null, 3.5, false);
+        });
+        assertEquals(node.count("set up"), 1);
+        node.now += 3.3;
+        assertTrue(node.round(news -> { }).contains("decline t902 with advice"));
+    }
+
+    private static void setWindowToOne(Node node) {
+        for (int i = 0; i < 20; i++) {
+            int id = i;
+            node.round(news -> news.tunnelArrived(Node.tun(id), new ProfileId("p"), null, null, null, 3, false));
+            int host = Math.max(0, node.lastHost());
+            node.now += 0.3;
+            node.round(news -> {
+                for (int k = 0; k < 4; k++) {
+                    news.setupEnded(Node.tun(id), k, Node.host(host), SetupEnd.ERROR, 0.1, k == 0);
+                }
+            });
+        }
+    }
+
+    @Test
+    public void rosterIsWatchedAndAskedAgainWhenLost() {
+        Node node = new Node(2);
+        node.now += 3;
+        assertTrue(node.round(news -> { }).contains("watch roster"));
+        assertFalse(node.round(News::rosterLost).contains("watch roster"));
+        node.now += 5;
+        assertTrue(node.round(news -> { }).contains("watch roster"));
+    }
+}
