--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -45,6 +45,8 @@
     private static final double ROOMY = 0.6;
     /** Numbers drawn for a group before its tunnel is placed like any other. */
     private static final int GROUP_DRAWS = 4;
+    /** Mean load over capacity below which a group's cost matters less than a crossing. */
+    private static final double IDLE = 0.35;
     /** Load over capacity from which a host's messages come too late, so that tunnels are better off elsewhere. */
     private static final double SINKING = 0.9;
     /** Load over capacity from which a host takes no more: past it, all its tunnels fare badly, not just the new. */
@@ -472,9 +474,10 @@
      * drawn for the group, not the tunnel: nodes with like weights find the same host; redrawn while that is busy.
      */
     private Host drawnForGroup(Tunnel tunnel, List<Host> eligible, double mean) {
+        boolean nearOnly = mean < IDLE && eligible.stream().anyMatch(host -> host.near());
         List<Host> holding = new ArrayList<>();
         for (Host host : eligible) {
-            if (host.groups.containsKey(tunnel.group) && host.count <= Math.max(mean * LEVEL_SLACK, ROOMY)) {
+            if ((host.near() || !nearOnly) && host.groups.containsKey(tunnel.group) && host.count <= Math.max(mean * LEVEL_SLACK, ROOMY)) {
                 holding.add(host);
             }
         }
@@ -483,7 +486,7 @@
         }
         List<Host> listed = new ArrayList<>();
         for (Host host : roll) {
-            if (host.takesNew()) {
+            if (host.takesNew() && (host.near() || !nearOnly)) {
                 listed.add(host);
             }
         }
@@ -507,7 +510,7 @@
         for (Host host : eligible) {
             if (host.count <= mean * LEVEL_SLACK) {
                 level.add(host);
-                if (deployment.zone().equals(host.zone)) {
+                if (host.near()) {
                     near.add(host);
                 }
             }
@@ -835,6 +838,10 @@
             return state == Listing.State.DRAINING && deployment.parkedFor() == 0;
         }
 
+        boolean near() {
+            return deployment.zone().equals(zone);
+        }
+
         boolean shunned() {
             return now < shunnedUntil;
         }
