--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -55,6 +55,8 @@
     private static final double MOVE_PAUSE = 2;
     /** A host is active while its load is no more than this multiple of the mean. */
     private static final double LEVEL_SLACK = 1.05;
+    /** The same for hosts that hold the tunnel's group: elsewhere it would cost more. */
+    private static final double HOLDER_SLACK = 1.15;
     /** A setup that has little time left, against its goal, is not worth sending. */
     private static final double LEAST_OF_GOAL = 0.1;
     /** Periods for which a host that has just failed weighs zero; doubled at each failure that follows. */
@@ -477,7 +479,8 @@
         boolean nearOnly = mean < IDLE && eligible.stream().anyMatch(host -> host.near());
         List<Host> holding = new ArrayList<>();
         for (Host host : eligible) {
-            if ((host.near() || !nearOnly) && host.groups.containsKey(tunnel.group) && host.count <= Math.max(mean * LEVEL_SLACK, ROOMY)) {
+            if ((host.near() || !nearOnly) && host.groups.containsKey(tunnel.group)
+                    && host.count <= Math.max(mean * HOLDER_SLACK, ROOMY)) {
                 holding.add(host);
             }
         }
