--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -47,6 +47,8 @@
     private static final int GROUP_DRAWS = 4;
     /** Mean load over capacity below which a group's cost matters less than a crossing. */
     private static final double IDLE = 0.35;
+    /** Mean load over capacity from which tunnels go to their groups' hosts or nowhere. */
+    private static final double BUSY = 0.7;
     /** Load over capacity from which a host's messages come too late, so that tunnels are better off elsewhere. */
     private static final double SINKING = 0.9;
     /** Load over capacity from which a host takes no more: past it, all its tunnels fare badly, not just the new. */
@@ -468,7 +470,9 @@
             return null;
         }
         Host home = tunnel.group == null ? null : drawnForGroup(tunnel, eligible, mean);
-        return home != null ? home : drawn(narrowed(eligible, mean), chance() * SPAN);
+        // In a busy fleet a tunnel that makes one more host pay for its group costs more than it earns.
+        boolean scatters = home == null && tunnel.group != null && mean > BUSY && deployment.reportsCapacity();
+        return home != null ? home : scatters ? null : drawn(narrowed(eligible, mean), chance() * SPAN);
     }
 
     /**
@@ -480,7 +484,7 @@
         List<Host> holding = new ArrayList<>();
         for (Host host : eligible) {
             if ((host.near() || !nearOnly) && host.groups.containsKey(tunnel.group)
-                    && host.count <= Math.max(mean * HOLDER_SLACK, ROOMY)) {
+                    && host.count <= limit(mean, HOLDER_SLACK)) {
                 holding.add(host);
             }
         }
@@ -499,13 +503,17 @@
             crc.update(tunnel.group.name().getBytes(StandardCharsets.UTF_8));
             crc.update(k);
             Host host = drawn(listed, crc.getValue() / (double) (1L << 32) * SPAN);
-            if (eligible.contains(host) && host.count <= Math.max(mean * LEVEL_SLACK, ROOMY)) {
+            if (eligible.contains(host) && host.count <= limit(mean, LEVEL_SLACK)) {
                 return host;
             }
         }
         return null;
     }
 
+    private double limit(double mean, double slack) {
+        return mean > BUSY ? BRIMFUL : Math.max(mean * slack, ROOMY);
+    }
+
     /** Who counts as active for this tunnel: hosts no busier than the mean, and near if there are any. */
     private List<Host> narrowed(List<Host> eligible, double mean) {
         List<Host> level = new ArrayList<>();
