--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -44,7 +44,7 @@
     /** Load over capacity up to which a nearer host, or one holding the tunnel's group, still counts as active. */
     private static final double ROOMY = 0.6;
     /** Numbers drawn for a group before its tunnel is placed like any other. */
-    private static final int GROUP_DRAWS = 4;
+    private static final int GROUP_DRAWS = 2;
     /** Mean load over capacity below which a group's cost matters less than a crossing. */
     private static final double IDLE = 0.35;
     /** Mean load over capacity from which tunnels go to their groups' hosts or nowhere. */
