--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -498,7 +498,7 @@
             }
         }
         figures(listed);
-        for (int k = 0; k < GROUP_DRAWS; k++) {
+        for (int k = 0; k < (mean > BUSY ? 1 : GROUP_DRAWS); k++) {
             CRC32 crc = new CRC32();
             crc.update(tunnel.group.name().getBytes(StandardCharsets.UTF_8));
             crc.update(k);
