--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -470,9 +470,14 @@
             return null;
         }
         Host home = tunnel.group == null ? null : drawnForGroup(tunnel, eligible, mean);
-        // In a busy fleet a tunnel that makes one more host pay for its group costs more than it earns.
-        boolean scatters = home == null && tunnel.group != null && mean > BUSY && deployment.reportsCapacity();
-        return home != null ? home : scatters ? null : drawn(narrowed(eligible, mean), chance() * SPAN);
+        if (home == null && tunnel.group != null && mean > BUSY && deployment.reportsCapacity()) {
+            // In a busy fleet one more host to pay for a group costs more than a tunnel earns, but on idle hosts.
+            eligible.removeIf(host -> !(host.expectedLoad() < IDLE));
+            if (eligible.isEmpty()) {
+                return null;
+            }
+        }
+        return home != null ? home : drawn(narrowed(eligible, mean), chance() * SPAN);
     }
 
     /**
