--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -83,6 +83,9 @@
     private double window = Double.POSITIVE_INFINITY;
     private double windowCutAt = Double.NEGATIVE_INFINITY;
 
+    /** What a tunnel adds to a host's load figure in the mean: an empty host can't tell it by its own. */
+    private double usualLoadOfOne;
+
     private double now = Double.NEGATIVE_INFINITY;
     private Decisions decisions;
     private long draws;
@@ -536,6 +539,15 @@
 
     /** Sets each host's count to its latest load figure, own placements since added, and returns their mean. */
     private double figures(List<Host> active) {
+        double loads = 0;
+        double tunnels = 0;
+        for (Host host : active) {
+            if (!Double.isNaN(host.load)) {
+                loads += host.load;
+                tunnels += host.tunnelsThere();
+            }
+        }
+        usualLoadOfOne = tunnels < 1 ? 0 : loads / tunnels;
         double sum = 0;
         int heard = 0;
         for (Host host : active) {
@@ -883,8 +895,12 @@
 
         /** What one of this node's tunnels adds to the load figure, and those that other nodes place meanwhile. */
         double loadOfOne() {
-            double there = Double.isNaN(openThere) ? own.size() * deployment.nodes() : openThere;
-            return there < 1 ? 0 : load / there * deployment.nodes();
+            double there = tunnelsThere();
+            return (there < 1 || load < IDLE / 2 ? usualLoadOfOne : load / there) * deployment.nodes();
+        }
+
+        double tunnelsThere() {
+            return Double.isNaN(openThere) ? own.size() * deployment.nodes() : openThere;
         }
 
         int held(GroupId group) {
