--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -59,6 +59,8 @@
     private static final double LEVEL_SLACK = 1.05;
     /** The same for hosts that hold the tunnel's group: elsewhere it would cost more. */
     private static final double HOLDER_SLACK = 1.15;
+    /** What of its part a node sends to a cold host: the rest is for chance, and for what it can't know. */
+    private static final double COLD_CAUTION = 0.5;
     /** A setup that has little time left, against its goal, is not worth sending. */
     private static final double LEAST_OF_GOAL = 0.1;
     /** Periods for which a host that has just failed weighs zero; doubled at each failure that follows. */
@@ -73,7 +75,8 @@
     /** Where packets of a passed-through tunnel last went, to send them there again while they are kept. */
     private final Map<SubjectId, Parting> partings = new LinkedHashMap<>();
     private final Ring opened = new Ring(4, PERIOD / 2);
-    private final Ring sent = new Ring(8, 2 * PERIOD);
+    private final Ring completed = new Ring(8, 2 * PERIOD);
+    private double warmHostCanTake;
 
     /** Setups of all hosts that ended, and those that failed on the host: what many share is no host's fault. */
     private final Ring ended = new Ring(4, PERIOD / 4);
@@ -274,6 +277,9 @@
         if (host != null) {
             judge(host, end, current && tunnel.open);
         }
+        if (end == SetupEnd.COMPLETED) {
+            completed.add(now, 0, 1);
+        }
         if (tunnel == null) {
             return;
         }
@@ -422,7 +428,6 @@
         host.admit(tunnel);
         host.placedSinceReport++;
         host.coldCredit -= 1;
-        sent.add(now, 0, 1);
         decisions.setUp(tunnel.id, host.id, timeOut);
     }
 
@@ -462,6 +467,7 @@
                 }
             }
         }
+        measureWarmHosts();
         eligible.removeIf(host -> host.cold() && !host.coldMayTake());
         if (eligible.isEmpty()) {
             return null;
@@ -522,6 +528,19 @@
         return mean > BUSY ? BRIMFUL : Math.max(mean * slack, ROOMY);
     }
 
+    private void measureWarmHosts() {
+        double loads = 0;
+        int warm = 0;
+        for (Host host : roll) {
+            if (host.takesNew() && !host.cold() && !Double.isNaN(host.load)) {
+                loads += host.load;
+                warm++;
+            }
+        }
+        double load = deployment.reportsCapacity() && warm > 0 ? Math.min(1, Math.max(IDLE, loads / warm)) : 1;
+        warmHostCanTake = warm == 0 ? 0 : completed.rate(now) / warm / load;
+    }
+
     /** Who counts as active for this tunnel: hosts no busier than the mean, and near if there are any. */
     private List<Host> narrowed(List<Host> eligible, double mean) {
         List<Host> level = new ArrayList<>();
@@ -778,17 +797,6 @@
         double rate(double time) {
             return count(time) / (length * numbers.length);
         }
-
-        /** Events a second, as the median of the full buckets: a short wave does not raise it. */
-        double usualRate(double time) {
-            turnTo(time);
-            int[] past = new int[numbers.length - 1];
-            for (int i = 0; i < past.length; i++) {
-                past[i] = numbers[Math.floorMod(newest - 1 - i, numbers.length)];
-            }
-            java.util.Arrays.sort(past);
-            return past[past.length / 2] / length;
-        }
     }
 
     private record Parting(Host host, double at) {
@@ -878,11 +886,14 @@
             return now < coldUntil;
         }
 
-        /** Rule 4: this node's part of what a cold host can be sent, from what it usually sends to each host. */
+        /**
+         * Rule 4: this node's part of what a cold host can be sent. What a warm host could take in a second is what
+         * this node's tunnels on one come to an end, over its load: moves and returns do not swell that.
+         */
         boolean coldMayTake() {
             double climbed = 1 - (coldUntil - now) / deployment.warmAfter();
             double part = deployment.coldFrom() + (1 - deployment.coldFrom()) * Math.max(0, climbed);
-            double rate = deployment.fallMultiple() * part * sent.usualRate(now) / Math.max(1, roll.size()) / 2;
+            double rate = deployment.fallMultiple() * part * warmHostCanTake * COLD_CAUTION;
             coldCredit = Math.min(coldCredit + rate * (now - coldCreditAt), Math.max(1, rate * deployment.fallAfter()));
             coldCreditAt = now;
             return coldCredit >= 1;
