--- a/src/test/java/embershift/Node.java
+++ b/src/test/java/embershift/Node.java
@@ -27,6 +27,7 @@
     final Policy policy;
     final List<String> said = new ArrayList<>();
     double now = 100;
+    double lastTimeOut;
 
     Node(Repeat repeat, DedupScope scope, int hosts, long seed) {
         Profile profile = new Profile(new ProfileId("p"), repeat, scope, 2, 0.5, 3, 1);
@@ -103,6 +104,7 @@
 
     @Override
     public void setUp(TunnelId id, HostId host, double timeOut) {
+        lastTimeOut = timeOut;
         said.add("set up " + id.name() + " " + host.name());
     }
 
--- a/src/test/java/embershift/PolicyTest.java
+++ b/src/test/java/embershift/PolicyTest.java
@@ -231,6 +231,16 @@
         assertTrue(node.count("set up") < 40 && node.count("set up") > 0, "sent " + node.count("set up"));
     }
 
+    @Test
+    public void setupsAreGivenMoreTimeWhileAllAreSlow() {
+        Node node = new Node(4).loads(0.1, 0.1, 0.1, 0.1);
+        node.arrive(0, 1, null);
+        assertEquals(node.lastTimeOut, 0.5);
+        node.round(news -> news.tunnelOpened(Node.tun(0), 0, Node.host(node.lastHost()), 0.4));
+        node.arrive(1, 1, null);
+        assertEquals(node.lastTimeOut, 1.2, 1e-9);
+    }
+
     @Test
     public void waitingTunnelsAreAnsweredBeforeTheirTime() {
         Node node = new Node(2).loads(0.1, 0.1);
