--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -31,9 +31,9 @@
 import java.util.zip.CRC32;
 
 /**
- * Every decision of one embershift node. Make one from the node's {@link Deployment}, then call {@link #round}
- * whenever there is news or a wake-up asked for has come: it takes the news as calls of {@link
- * News}, in order, and writes what is to be done into {@link Decisions}. Both interfaces are in
+ * Every decision of one embershift node. Make one from the node's {@link Deployment}, then call
+ * {@link #round} whenever there is news or a wake-up asked for has come: it takes the news as calls of
+ * {@link News}, in order, and writes what is to be done into {@link Decisions}. Both interfaces are in
  * embershift.model. The mechanism, a weighted draw over the hosts' reported load, and each departure
  * from it are told in docs/design.md.
  */
