Hosts are asked only for tunnels that may go there; groups' numbers fall on seats

Change: figures are kept fresh by probes only where arriving tunnels are worth that many; elsewhere the host that a tunnel is drawn to is asked first, and the tunnel waits a quarter of its setup goal at most. A group's numbers fall on seats that each host keeps; a number is kept by the host's weight over the highest. Moves follow a host's own report or a note of slow messages.

--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -39,12 +39,25 @@
  */
 public final class Policy implements News {
 
-    /** Seconds between two probes of a host, and so the age of the figures that a draw rests on. */
+    /** Seconds between two probes of a host, where tunnels arrive often enough to be worth it. */
     private static final double PERIOD = 1.0;
+    /** Periods for which a host's figure can be placed by without asking the host again. */
+    private static final double FRESH = 2.2;
+    /** Periods after which a figure tells nothing any more. */
+    private static final double KEPT = 8;
+    /** Probes that an arriving tunnel is worth; where they can't keep all figures fresh, hosts are asked. */
+    private static final double PROBES_EACH = 5;
+    /** Hosts asked for one tunnel, and the part of its setup goal that an answer may take. */
+    private static final int ASKS = 4;
+    private static final double ASK_PATIENCE = 0.25;
+    /** Places for hosts that a group's numbers fall on; twice as many hosts double them. */
+    private static final int SEATS = 1024;
+    /** What a node's own placement stands for at the most, with those that other nodes make meanwhile. */
+    private static final int OTHERS = 5;
     private static final double SPAN = 256;
     /** Load over capacity up to which a host that holds the tunnel's group counts as active. */
     private static final double ROOMY = 0.6;
-    /** Numbers drawn for a group before its tunnel is placed like any other. */
+    /** Hosts drawn for a group before its tunnel is placed like any other. */
     private static final int GROUP_DRAWS = 2;
     /** Mean load over capacity below which a group's cost matters less than a crossing. */
     private static final double IDLE = 0.35;
@@ -77,6 +90,22 @@
     private final Map<TunnelId, Tunnel> table = new LinkedHashMap<>();
     /** Where packets of a passed-through tunnel last went, to send them there again while they are kept. */
     private final Map<SubjectId, Parting> partings = new LinkedHashMap<>();
+    /** Where this node's tunnels of a group are, and how many. */
+    private final Map<GroupId, Map<Host, Integer>> holders = new HashMap<>();
+    /** The hosts by a number of their own: what a group's numbers fall on, alike at all nodes. */
+    private Host[] seats = new Host[0];
+    private final Ring arrived = new Ring(8, 2 * PERIOD);
+    private double startedAt;
+    /** Tunnels for which a host has been asked for its figures. */
+    private List<Tunnel> asking = new ArrayList<>();
+    private boolean surveyed;
+    private double mean;
+    private int active;
+    private int heard;
+    private boolean nearTake;
+    /** Whether most hosts look bad: then it is the view that is bad. */
+    private boolean doubtful;
+    private boolean noneAnswers;
     private final Ring opened = new Ring(4, PERIOD / 2);
     private final Ring completed = new Ring(8, 2 * PERIOD);
     private double warmHostCanTake;
@@ -96,7 +125,6 @@
     private Decisions decisions;
     private long draws;
     private double wokenAt = Double.POSITIVE_INFINITY;
-    private double nextMoves;
 
     private boolean watching;
     private double rosterCallAt = Double.POSITIVE_INFINITY;
@@ -115,6 +143,10 @@
         boolean first = this.now == Double.NEGATIVE_INFINITY;
         this.now = now;
         this.decisions = decisions;
+        surveyed = false;
+        if (first) {
+            startedAt = now;
+        }
         if (now >= wokenAt) {
             wokenAt = Double.POSITIVE_INFINITY;
         }
@@ -123,11 +155,10 @@
             rosterCallAt = now + chance() * rosterPatience / 2;
         }
         arrivals.accept(this);
+        placeAnswered();
         placeWaiting();
         followRoster();
-        probe();
-        moveOffSinkingHosts();
-        wake();
+        wake(probe());
     }
 
     // ---- The roster ----
@@ -178,6 +209,14 @@
             at++;
         }
         roll.add(at, host);
+        seats = new Host[Math.max(SEATS, 2 * Integer.highestOneBit(roll.size()) * 2)];
+        for (Host one : roll) {
+            int seat = (int) (scattered(numberOf(one.id.name())) >>> 33) & seats.length - 1;
+            while (seats[seat] != null) {
+                seat = seat + 1 & seats.length - 1;
+            }
+            seats[seat] = one;
+        }
     }
 
     private void rosterAnswered() {
@@ -215,6 +254,7 @@
         }
         Tunnel tunnel = new Tunnel(id, row, subject, group, now + timeLeft);
         table.put(id, tunnel);
+        arrived.add(now, 0, 1);
         Parting parting = subject == null ? null : partings.remove(subject);
         if (parting != null && midFlow && now - parting.at < deployment.parkedFor()
                 && parting.host.listed && parting.host.state == Listing.State.READY) {
@@ -330,10 +370,41 @@
             return;
         }
         Host host = worthSending && out < window ? draw(tunnel) : null;
-        if (host != null) {
-            send(tunnel, host);
-        } else {
+        if (host == null) {
             giveUp(tunnel);
+        } else if (mayAsk(tunnel) && !host.fresh()) {
+            tunnel.asks++;
+            tunnel.asked = host;
+            tunnel.askedUntil = now + ASK_PATIENCE * tunnel.profile.setupGoal();
+            asking.add(tunnel);
+            ask(host);
+        } else {
+            send(tunnel, host);
+        }
+    }
+
+    /** A figure is worth a wait while the setup that follows still has time for its goal. */
+    private boolean mayAsk(Tunnel tunnel) {
+        return deployment.mayProbe() && tunnel.asks < ASKS
+                && now + 2 * tunnel.profile.setupGoal() < tunnel.clientGivesUpAt;
+    }
+
+    /** Places the tunnels whose asked hosts have answered, or have not for too long. */
+    private void placeAnswered() {
+        if (asking.isEmpty()) {
+            return;
+        }
+        List<Tunnel> asked = asking;
+        asking = new ArrayList<>();
+        for (Tunnel tunnel : asked) {
+            if (tunnel.asked.probing && now < tunnel.askedUntil) {
+                asking.add(tunnel);
+            } else if (table.containsKey(tunnel.id)) {
+                if (tunnel.asked.probing) {
+                    tunnel.tried.add(tunnel.asked);
+                }
+                place(tunnel);
+            }
         }
     }
 
@@ -394,12 +465,8 @@
 
     /** Rule 2: a decline promises the client that trying again is harmless. */
     private boolean mayDecline(Tunnel tunnel) {
-        return switch (tunnel.profile.repeat()) {
-            case REPEATABLE -> true;
-            case REFERENCED -> !tunnel.mayHaveRun || tunnel.profile.dedupScope() == DedupScope.ALL
-                    && now < tunnel.firstSentAt + tunnel.profile.dedupWindow();
-            case ONCE_ONLY -> !tunnel.mayHaveRun;
-        };
+        return mayRunAgain(tunnel) && (!tunnel.mayHaveRun || tunnel.profile.repeat() != Repeat.REFERENCED
+                || tunnel.profile.dedupScope() == DedupScope.ALL);
     }
 
     /** Rule 2: a referenced tunnel that may have run goes only where its repeats are dropped. */
@@ -432,6 +499,9 @@
         out++;
         tunnel.host = host;
         host.admit(tunnel);
+        if (host.heard() && heard > 0) {
+            mean += host.loadOfOne() / heard;
+        }
         host.placedSinceReport++;
         host.coldCredit -= 1;
         decisions.setUp(tunnel.id, host.id, timeOut);
@@ -452,116 +522,150 @@
     // ---- The draw ----
 
     /**
-     * The host whose interval covers a number drawn from [0, 256), among those that may take this
-     * tunnel.
+     * The host that this tunnel's number falls on, drawn from [0, 256) over the hosts' weights, or null
+     * where none should take it.
      */
     private Host draw(Tunnel tunnel) {
+        survey();
+        Host home = tunnel.group == null ? null : drawnForGroup(tunnel);
+        if (home != null) {
+            return home;
+        }
         List<Host> eligible = new ArrayList<>();
-        int listed = 0;
-        int reachable = 0;
         for (Host host : roll) {
-            if (host.takesNew() && dropsRepeats(tunnel, host)) {
-                listed++;
-                reachable += host.silent ? 0 : 1;
-                if (!host.silent && !host.shunned() && !tunnel.tried.contains(host)) {
-                    eligible.add(host);
-                }
+            if (mayTake(host, tunnel)) {
+                eligible.add(host);
             }
         }
-        if (2 * eligible.size() < reachable || eligible.isEmpty()) {
-            // Where most hosts look bad it is the view that is bad, or there is no better choice: plain
-            // draw.
-            eligible.clear();
-            for (Host host : roll) {
-                if (host.takesNew() && dropsRepeats(tunnel, host) && (reachable == 0 || !host.silent)) {
-                    eligible.add(host);
-                }
-            }
+        if (!tunnel.tried.containsAll(eligible)) {
+            eligible.removeAll(tunnel.tried);
         }
-        measureWarmHosts();
-        eligible.removeIf(host -> host.cold() && !host.coldMayTake());
-        if (eligible.isEmpty()) {
-            return null;
-        }
-        double mean = figures(eligible);
-        // One tunnel too many ends in hosts that shed tunnels, whose clients come again at once:
-        // declines cost less.
-        eligible.removeIf(host -> host.expectedLoad() > BRIMFUL && deployment.reportsCapacity());
-        if (eligible.isEmpty()) {
-            return null;
-        }
-        Host home = tunnel.group == null ? null : drawnForGroup(tunnel, eligible, mean);
-        if (home == null && tunnel.group != null && mean > BUSY && deployment.reportsCapacity()) {
-            // In a busy fleet one more host to pay for a group costs more than a tunnel earns, but on
-            // idle hosts.
-            eligible.removeIf(host -> !(host.expectedLoad() < IDLE));
-            if (eligible.isEmpty()) {
-                return null;
-            }
+        if (deployment.reportsCapacity()) {
+            // One tunnel too many ends in hosts that shed tunnels, whose clients come again at once:
+            // declines cost less. In a busy fleet one more host to pay for a group costs more than a
+            // tunnel earns, but on idle hosts.
+            double most = tunnel.group != null && mean > BUSY ? IDLE : BRIMFUL;
+            eligible.removeIf(host -> count(host) > most);
         }
-        return home != null ? home : drawn(narrowed(eligible, mean), chance() * SPAN);
+        if (!mayAsk(tunnel) && eligible.stream().anyMatch(Host::fresh)) {
+            eligible.removeIf(host -> !host.fresh());
+        }
+        return eligible.isEmpty() ? null : drawn(narrowed(eligible), chance() * SPAN);
+    }
+
+    /** Whether rules, health and list let this host take the tunnel now. */
+    private boolean mayTake(Host host, Tunnel tunnel) {
+        return host.takesNew() && dropsRepeats(tunnel, host)
+                && (noneAnswers || !host.silent()) && (doubtful || !host.shunned())
+                && (!host.cold() || host.coldMayTake());
     }
 
     /**
-     * Each host that holds any of a group pays for it, and nodes don't know what others hold. So the
-     * number is drawn for the group, not the tunnel: nodes with like weights find the same host;
-     * redrawn while that is busy.
+     * Each host that holds any of a group pays for it, and nodes don't know what others hold. So numbers
+     * are drawn for the group, not the tunnel, until they have fallen on hosts' intervals of the weights:
+     * nodes find the same hosts, and a host that comes or goes shifts only its own groups.
      */
-    private Host drawnForGroup(Tunnel tunnel, List<Host> eligible, double mean) {
-        boolean nearOnly = mean < IDLE && eligible.stream().anyMatch(host -> host.near());
+    private Host drawnForGroup(Tunnel tunnel) {
+        boolean nearOnly = mean < IDLE && nearTake;
+        double most = limit(HOLDER_SLACK);
         List<Host> holding = new ArrayList<>();
-        for (Host host : eligible) {
-            if ((host.near() || !nearOnly) && host.groups.containsKey(tunnel.group)
-                    && host.count <= limit(mean, HOLDER_SLACK)) {
+        for (Host host : holders.getOrDefault(tunnel.group, Map.of()).keySet()) {
+            if ((host.near() || !nearOnly) && mayTake(host, tunnel) && !tunnel.tried.contains(host)
+                    && count(host) <= most) {
                 holding.add(host);
             }
         }
         if (!holding.isEmpty()) {
             return drawn(holding, chance() * SPAN);
         }
-        List<Host> listed = new ArrayList<>();
-        for (Host host : roll) {
-            if (host.takesNew() && (host.near() || !nearOnly)) {
-                listed.add(host);
-            }
-        }
-        figures(listed);
-        for (int k = 0; k < (mean > BUSY ? 1 : GROUP_DRAWS); k++) {
-            CRC32 crc = new CRC32();
-            crc.update(tunnel.group.name().getBytes(StandardCharsets.UTF_8));
-            crc.update(k);
-            Host host = drawn(listed, crc.getValue() / (double) (1L << 32) * SPAN);
-            if (eligible.contains(host) && host.count <= limit(mean, LEVEL_SLACK)) {
+        most = limit(LEVEL_SLACK);
+        long number = numberOf(tunnel.group.name());
+        int draws = mean > BUSY ? 1 : GROUP_DRAWS;
+        for (int k = 0; draws > 0 && k < 4 * seats.length; k++) {
+            long drawn = scattered(number + k);
+            Host host = seats[(int) (drawn >>> 33) & seats.length - 1];
+            if (host == null || !host.takesNew() || nearOnly && !host.near()
+                    || (drawn & 0xffff) / 65536.0 * mean * active >= mean * active - count(host)) {
+                continue;
+            }
+            draws--;
+            if (mayTake(host, tunnel) && !tunnel.tried.contains(host) && count(host) <= most) {
                 return host;
             }
         }
         return null;
     }
 
-    private double limit(double mean, double slack) {
+    private static long numberOf(String name) {
+        CRC32 crc = new CRC32();
+        crc.update(name.getBytes(StandardCharsets.UTF_8));
+        return crc.getValue() << 16;
+    }
+
+    /** Spreads numbers that lie close together or differ in few bits, as CRC32 leaves them. */
+    private static long scattered(long number) {
+        long mixed = (number + 1) * 0x9E3779B97F4A7C15L;
+        mixed = (mixed ^ mixed >>> 32) * 0xD6E8FEB86659FD93L;
+        return mixed ^ mixed >>> 32;
+    }
+
+    private double limit(double slack) {
         return mean > BUSY ? BRIMFUL : Math.max(mean * slack, ROOMY);
     }
 
-    private void measureWarmHosts() {
+    /** Once a round that places tunnels: what the hosts' figures say together. */
+    private void survey() {
+        if (surveyed) {
+            return;
+        }
+        surveyed = true;
         double loads = 0;
-        int warm = 0;
+        double tunnels = 0;
+        int reachable = 0;
+        List<Host> healthy = new ArrayList<>();
+        active = 0;
+        nearTake = false;
         for (Host host : roll) {
-            if (host.takesNew() && !host.cold() && !Double.isNaN(host.load)) {
-                loads += host.load;
-                warm++;
+            if (host.takesNew()) {
+                active++;
+                reachable += host.silent() ? 0 : 1;
+                if (!host.silent() && !host.shunned()) {
+                    healthy.add(host);
+                    nearTake |= host.near();
+                }
             }
         }
-        boolean known = deployment.reportsCapacity() && warm > 0;
-        double load = known ? Math.min(1, Math.max(IDLE, loads / warm)) : 1;
-        warmHostCanTake = warm == 0 ? 0 : completed.rate(now) / warm / load;
+        noneAnswers = reachable == 0;
+        doubtful = 2 * healthy.size() < reachable;
+        healthy.removeIf(host -> !host.heard() || host.cold());
+        heard = healthy.size();
+        for (Host host : healthy) {
+            loads += host.load;
+            tunnels += host.tunnelsThere();
+        }
+        usualLoadOfOne = tunnels < 1 ? 0 : loads / tunnels;
+        double sum = 0;
+        for (Host host : healthy) {
+            sum += host.expectedLoad();
+        }
+        mean = heard == 0 ? 0 : sum / heard;
+        boolean known = deployment.reportsCapacity() && heard > 0;
+        double load = known ? Math.min(1, Math.max(IDLE, loads / heard)) : 1;
+        warmHostCanTake = completed.rate(now) / Math.max(1, active) / load;
+    }
+
+    /** The design's count_i: hosts not heard from, and warming ones that report less, take the mean. */
+    private double count(Host host) {
+        double load = host.heard() ? host.expectedLoad() : mean;
+        return host.cold() && load < mean ? mean : load;
     }
 
     /** Who counts as active for this tunnel: hosts no busier than the mean, and near if there are any. */
-    private List<Host> narrowed(List<Host> eligible, double mean) {
+    private List<Host> narrowed(List<Host> eligible) {
         List<Host> level = new ArrayList<>();
         List<Host> near = new ArrayList<>();
         for (Host host : eligible) {
-            if (host.count <= mean * LEVEL_SLACK) {
+            if (count(host) <= mean * LEVEL_SLACK) {
                 level.add(host);
                 if (host.near()) {
                     near.add(host);
@@ -571,38 +675,6 @@
         return !near.isEmpty() ? near : !level.isEmpty() ? level : eligible;
     }
 
-    /**
-     * Sets each host's count to its latest load figure, own placements since added, and returns their
-     * mean.
-     */
-    private double figures(List<Host> active) {
-        double loads = 0;
-        double tunnels = 0;
-        for (Host host : active) {
-            if (!Double.isNaN(host.load)) {
-                loads += host.load;
-                tunnels += host.tunnelsThere();
-            }
-        }
-        usualLoadOfOne = tunnels < 1 ? 0 : loads / tunnels;
-        double sum = 0;
-        int heard = 0;
-        for (Host host : active) {
-            if (!Double.isNaN(host.load)) {
-                host.count = host.expectedLoad();
-                sum += host.count;
-                heard++;
-            }
-        }
-        double mean = heard == 0 ? 0 : sum / heard;
-        for (Host host : active) {
-            if (Double.isNaN(host.load) || host.cold() && host.count < mean) {
-                host.count = mean;
-            }
-        }
-        return mean;
-    }
-
     private Host drawn(List<Host> active, double mark) {
         int n = active.size();
         if (n == 1) {
@@ -610,10 +682,10 @@
         }
         double total = 0;
         for (Host host : active) {
-            total += host.count;
+            total += count(host);
         }
         for (Host host : active) {
-            mark -= weight(host.count, total, n);
+            mark -= weight(count(host), total, n);
             if (mark < 0) {
                 return host;
             }
@@ -635,17 +707,36 @@
 
     // ---- Probes, reports and the hosts' health ----
 
-    private void probe() {
-        if (!deployment.mayProbe()) {
-            return;
+    /**
+     * Keeps all figures fresh where the tunnels that arrive are worth that many probes; where nodes are
+     * many and each has few tunnels, hosts are only asked for a tunnel that may go there. Returns when
+     * the next probe is due.
+     */
+    private double probe() {
+        double next = Double.POSITIVE_INFINITY;
+        double rate = arrived.count(now) / Math.min(16 * PERIOD, now - startedAt + PERIOD);
+        double round = Math.max(PERIOD, roll.size() / (PROBES_EACH * rate));
+        if (!deployment.mayProbe() || round > FRESH * PERIOD / 1.1) {
+            return next;
         }
         for (Host host : roll) {
-            if (now >= host.nextProbe && host.listed && host.state != Listing.State.GONE && !host.probing) {
-                host.probing = true;
-                host.nextProbe = now + PERIOD * (0.9 + 0.2 * chance());
-                decisions.probe(host.id);
+            if (host.listed && host.state != Listing.State.GONE && !host.probing) {
+                if (now >= host.nextProbe) {
+                    ask(host);
+                    host.nextProbe = now + round * (0.9 + 0.2 * chance());
+                } else {
+                    next = Math.min(next, host.nextProbe);
+                }
             }
         }
+        return next;
+    }
+
+    private void ask(Host host) {
+        if (!host.probing) {
+            host.probing = true;
+            decisions.probe(host.id);
+        }
     }
 
     @Override
@@ -653,7 +744,8 @@
         Host host = hosts.get(at);
         if (host != null) {
             host.probing = false;
-            host.silent = !answered;
+            host.reportedAt = answered ? now : host.reportedAt;
+            host.silentUntil = answered ? now : now + SHUN * PERIOD;
         }
     }
 
@@ -666,7 +758,9 @@
             if (!Double.isNaN(load)) {
                 host.load = load;
                 host.openThere = openTunnels;
+                host.reportedAt = now;
                 host.placedSinceReport = 0;
+                moveOffSinking(host);
             }
         }
     }
@@ -684,7 +778,7 @@
                 host.shunnedUntil = now + SHUN * PERIOD * Math.min(4, host.failuresInRow);
             }
             case NO_CONNECTION -> {
-                host.silent = true;
+                host.silentUntil = now + SHUN * PERIOD;
                 host.nextProbe = Math.min(host.nextProbe, now);
             }
             case FULL -> host.shunnedUntil = Math.max(host.shunnedUntil, now + PERIOD / 2);
@@ -698,8 +792,14 @@
     }
 
     @Override
-    public void messageDelayNoted(HostId host, double delay) {
-        // Comes with a load that moves tunnels off anyway.
+    public void messageDelayNoted(HostId at, double delay) {
+        // Where hosts are asked only for new tunnels, a sinking one that gets none must be asked too.
+        Host host = hosts.get(at);
+        if (host != null && deployment.mayProbe() && now >= host.nextNoted
+                && now > host.reportedAt + PERIOD) {
+            host.nextNoted = now + MOVE_PAUSE * PERIOD;
+            ask(host);
+        }
     }
 
     @Override
@@ -709,19 +809,13 @@
 
     // ---- Moves ----
 
-    /** Moves some tunnels off each host that can't serve those it has, as long as others have room. */
-    private void moveOffSinkingHosts() {
-        if (now < nextMoves) {
-            return;
-        }
-        nextMoves = now + PERIOD;
-        for (Host host : roll) {
-            if (host.load > SINKING && now >= host.nextMove && deployment.reportsCapacity() && !host.cold()) {
-                // Reports lag: what was moved since shows only in later ones.
-                host.nextMove = now + MOVE_PAUSE * PERIOD;
-                // Every node moves the same part of its own, so together they move what is too much.
-                moveSome(host, (host.load - BRIMFUL) / host.load);
-            }
+    /** Moves some tunnels off a host that can't serve those it has. */
+    private void moveOffSinking(Host host) {
+        if (host.load > SINKING && now >= host.nextMove && deployment.reportsCapacity() && !host.cold()) {
+            // Reports lag: what was moved since shows only in later ones.
+            host.nextMove = now + MOVE_PAUSE * PERIOD;
+            // Every node moves the same part of its own, so together they move what is too much.
+            moveSome(host, (host.load - BRIMFUL) / host.load);
         }
     }
 
@@ -734,7 +828,7 @@
         }
         // The last of a group to leave takes the group's cost along, so tunnels with few of theirs here
         // go first.
-        standing.sort(Comparator.<Tunnel>comparingInt(tunnel -> host.held(tunnel.group))
+        standing.sort(Comparator.<Tunnel>comparingInt(tunnel -> held(tunnel.group, host))
                 .thenComparingDouble(tunnel -> tunnel.profile.credit()));
         double part = share * standing.size();
         int many = (int) part + (chance() < part - (int) part ? 1 : 0);
@@ -744,17 +838,19 @@
         }
     }
 
+    private int held(GroupId group, Host host) {
+        return group == null ? 0 : holders.getOrDefault(group, Map.of()).getOrDefault(host, 0);
+    }
+
     // ---- Time ----
 
-    private void wake() {
-        double next = Math.min(rosterCallAt, nextMoves);
+    private void wake(double nextProbe) {
+        double next = Math.min(rosterCallAt, nextProbe);
         if (!waiting.isEmpty()) {
             next = Math.min(next, now + PERIOD / 10);
         }
-        for (Host host : roll) {
-            if (deployment.mayProbe() && host.listed && host.state != Listing.State.GONE && !host.probing) {
-                next = Math.min(next, host.nextProbe);
-            }
+        for (Tunnel tunnel : asking) {
+            next = Math.min(next, tunnel.askedUntil);
         }
         if (next < wokenAt && next < Double.POSITIVE_INFINITY) {
             wokenAt = next;
@@ -762,95 +858,12 @@
         }
     }
 
-    /**
-     * A measure over time: sums in a ring of fixed time buckets, the first value of an event and its
-     * number.
-     */
-    private static final class Ring {
-        private final double[] values;
-        private final int[] numbers;
-        private final double length;
-        private long newest = Long.MIN_VALUE;
-
-        Ring(int buckets, double length) {
-            this.values = new double[buckets];
-            this.numbers = new int[buckets];
-            this.length = length;
-        }
-
-        private void turnTo(double time) {
-            long bucket = (long) Math.floor(time / length);
-            if (newest == Long.MIN_VALUE) {
-                newest = bucket;
-            }
-            for (long b = Math.max(newest + 1, bucket - values.length + 1); b <= bucket; b++) {
-                values[Math.floorMod(b, values.length)] = 0;
-                numbers[Math.floorMod(b, values.length)] = 0;
-            }
-            newest = Math.max(newest, bucket);
-        }
-
-        void add(double time, double value, int number) {
-            turnTo(time);
-            values[Math.floorMod(newest, values.length)] += value;
-            numbers[Math.floorMod(newest, values.length)] += number;
-        }
-
-        double sum(double time) {
-            turnTo(time);
-            double sum = 0;
-            for (double value : values) {
-                sum += value;
-            }
-            return sum;
-        }
-
-        int count(double time) {
-            turnTo(time);
-            int count = 0;
-            for (int number : numbers) {
-                count += number;
-            }
-            return count;
-        }
-
-        double rate(double time) {
-            return count(time) / (length * numbers.length);
-        }
-    }
-
     private record Parting(Host host, double at) {
     }
 
-    private static final class Tunnel {
-        final TunnelId id;
-        final Profile profile;
-        final SubjectId subject;
-        final GroupId group;
-        final double clientGivesUpAt;
-        final List<Host> tried = new ArrayList<>(2);
-        Host host;
-        int setups;
-        boolean out;
-        boolean open;
-        boolean moving;
-        boolean mayHaveRun;
-        Host mayHaveRunAt;
-        double firstSentAt;
-
-        Tunnel(TunnelId id, Profile profile, SubjectId subject, GroupId group, double clientGivesUpAt) {
-            this.id = id;
-            this.profile = profile;
-            this.subject = subject;
-            this.group = group;
-            this.clientGivesUpAt = clientGivesUpAt;
-        }
-    }
-
-    private final class Host {
+    final class Host {
         final HostId id;
         final Map<TunnelId, Tunnel> own = new LinkedHashMap<>();
-        final Map<GroupId, Integer> groups = new HashMap<>();
         boolean listed;
         Listing.State state = Listing.State.GONE;
         ZoneId zone;
@@ -861,12 +874,13 @@
         double coldCreditAt;
         double load = Double.NaN;
         double openThere = Double.NaN;
-        double count;
+        double reportedAt = Double.NEGATIVE_INFINITY;
         int placedSinceReport;
         double nextMove = Double.NEGATIVE_INFINITY;
         int failuresInRow;
         double shunnedUntil = Double.NEGATIVE_INFINITY;
-        boolean silent;
+        double silentUntil = Double.NEGATIVE_INFINITY;
+        double nextNoted = Double.NEGATIVE_INFINITY;
         boolean probing;
         double nextProbe = Double.POSITIVE_INFINITY;
 
@@ -876,11 +890,11 @@
 
         void startsAnew(double at) {
             coldUntil = at + deployment.warmAfter();
-            // Nodes hear of a start together: a random part of the first unit keeps them from sending
-            // together.
+            // Nodes hear of a start together: a random part of the first unit keeps them apart.
             coldCredit = chance();
             coldCreditAt = now;
             load = Double.NaN;
+            reportedAt = Double.NEGATIVE_INFINITY;
             shunnedUntil = now;
             failuresInRow = 0;
         }
@@ -897,6 +911,18 @@
             return now < shunnedUntil;
         }
 
+        boolean silent() {
+            return now < silentUntil;
+        }
+
+        boolean heard() {
+            return !Double.isNaN(load) && now <= reportedAt + KEPT * PERIOD;
+        }
+
+        boolean fresh() {
+            return now <= reportedAt + FRESH * PERIOD;
+        }
+
         boolean cold() {
             return now < coldUntil;
         }
@@ -923,31 +949,32 @@
 
         /**
          * What one of this node's tunnels adds to the load figure, and those that other nodes place
-         * meanwhile.
+         * meanwhile: a node that has few tunnels there can't tell either by them.
          */
         double loadOfOne() {
-            double there = tunnelsThere();
-            return (there < 1 || load < IDLE / 2 ? usualLoadOfOne : load / there) * deployment.nodes();
+            boolean few = Double.isNaN(openThere) ? own.size() < 4 : openThere < 1;
+            return (few || load < IDLE / 2 ? usualLoadOfOne : load / tunnelsThere())
+                    * Math.min(deployment.nodes(), OTHERS);
         }
 
         double tunnelsThere() {
             return Double.isNaN(openThere) ? own.size() * deployment.nodes() : openThere;
         }
 
-        int held(GroupId group) {
-            return group == null ? 0 : groups.getOrDefault(group, 0);
-        }
-
         void admit(Tunnel tunnel) {
             own.put(tunnel.id, tunnel);
             if (tunnel.group != null) {
-                groups.merge(tunnel.group, 1, Integer::sum);
+                holders.computeIfAbsent(tunnel.group, group -> new LinkedHashMap<>())
+                        .merge(this, 1, Integer::sum);
             }
         }
 
         void dismiss(Tunnel tunnel) {
             if (own.remove(tunnel.id) != null && tunnel.group != null) {
-                groups.computeIfPresent(tunnel.group, (group, held) -> held == 1 ? null : held - 1);
+                holders.computeIfPresent(tunnel.group, (group, at) -> {
+                    at.computeIfPresent(this, (host, held) -> held == 1 ? null : held - 1);
+                    return at.isEmpty() ? null : at;
+                });
             }
         }
     }
--- a/src/test/java/embershift/Node.java
+++ b/src/test/java/embershift/Node.java
@@ -98,6 +98,10 @@
         return -1;
     }
 
+    long sentTo(int host) {
+        return said.stream().filter(line -> line.startsWith("set up") && line.endsWith(" h" + host)).count();
+    }
+
     long count(String start) {
         return said.stream().filter(line -> line.startsWith(start)).count();
     }
