A node woken a step early asks for its next wake-up again

Cause: wake-ups are asked for in whole microseconds and may come up to half of one early; the module then took the wake-up as still to come and slept on, past the client timeout of a waiting tunnel. With probes each second other news had always come in between.

--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -147,7 +147,9 @@
         if (first) {
             startedAt = now;
         }
-        if (now >= wokenAt) {
+        if (now >= wokenAt - PERIOD / 1000) {
+            // A clock of whole steps may wake the node a step early: without a new wake-up it would sleep
+            // past its tunnels' client timeouts (rule 1).
             wokenAt = Double.POSITIVE_INFINITY;
         }
         if (first && deployment.rosterOnRequest()) {
--- a/src/test/java/embershift/PolicyTest.java
+++ b/src/test/java/embershift/PolicyTest.java
@@ -273,6 +273,17 @@
         }
     }
 
+    @Test
+    public void nodeWokenAStepEarlyAsksToBeWokenAgain() {
+        Node node = new Node(2);
+        assertEquals(node.arrive(0, 1, null).stream().filter(line -> line.startsWith("probe")).count(), 1);
+        node.now += 0.125 - 5e-7;
+        assertTrue(node.round(news -> { }).contains("wake"));
+        node.now += 1e-6;
+        node.round(news -> { });
+        assertTrue(node.count("set up") + node.count("probe") > 0);
+    }
+
     @Test
     public void busyFleetDeclinesWhatWouldSpreadAGroup() {
         Node node = new Node(8).loads(0.78, 0.79, 0.79, 0.78, 0.95, 0.95, 0.95, 0.95);
