A setup may take three times its goal, not only three times the recent mean

Cause: nodes with one tunnel in three seconds have no recent mean; at a slow session store they cut setups off at the goal and queued them again, up to 19 setups a tunnel, while a tunnel that opens late still earns its later seconds.

--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -75,7 +75,7 @@
     private static final double HOLDER_SLACK = 1.15;
     /** What of its part a node sends to a cold host: the rest is for chance, and for what it can't know. */
     private static final double COLD_CAUTION = 0.5;
-    /** How much longer than the recent mean a setup may take before it is tried elsewhere. */
+    /** How much longer than its goal, or the recent mean, a setup may take before it is tried elsewhere. */
     private static final double SLOW_SETUP = 3;
     /** A setup that has little time left, against its goal, is not worth sending. */
     private static final double LEAST_OF_GOAL = 0.1;
@@ -489,9 +489,9 @@
         // Once timed out, a once-only tunnel could neither be sent again nor declined.
         boolean last = tunnel.setups + 1 >= deployment.mostSetups()
                 || tunnel.profile.repeat() == Repeat.ONCE_ONLY;
-        // While all setups are slow, those cut off at the goal would only be queued once more.
+        // A slow session store, or whatever all setups share, only queues those cut off at the goal again.
         double usual = opened.sum(now) / Math.max(1, opened.count(now));
-        double patience = Math.max(tunnel.profile.setupGoal(), SLOW_SETUP * usual);
+        double patience = SLOW_SETUP * Math.max(tunnel.profile.setupGoal(), usual);
         double timeOut = last ? 0 : Math.min(left, patience);
         if (tunnel.setups == 0) {
             tunnel.firstSentAt = now;
