--- a/src/test/java/embershift/adapter/AdapterTest.java
+++ b/src/test/java/embershift/adapter/AdapterTest.java
@@ -40,7 +40,7 @@
     @Test
     public void tunnelIsSentToTheHostListed() throws IOException {
         String reply = play("BEGIN_BATCH 8.4 1", SPAWN, LISTED, TUNNEL, "COMMIT");
-        assertTrue(reply.startsWith("HAND_OFF 3 t1 h:1 0.500000\n"), reply);
+        assertTrue(reply.startsWith("HAND_OFF 3 t1 h:1 1.500000\n"), reply);
         assertTrue(reply.endsWith("DONE 1\n"), reply);
     }
 
