The mean comes from hosts asked for placing; few of them make no busy fleet

Now noted hosts stay out of the mean, under four hosts never make a fleet busy, and a group's host not heard from is asked before it is passed over.

--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -44,7 +44,9 @@
     /** Periods for which a host's figure can be placed by without asking the host again. */
     private static final double FRESH = 2.2;
     /** Periods after which a figure tells nothing any more. */
-    private static final double KEPT = 8;
+    private static final double KEPT = 16;
+    /** Hosts whose figures together tell of the fleet. */
+    private static final int FEW = 4;
     /** Probes that an arriving tunnel is worth; where they can't keep all figures fresh, hosts are asked. */
     private static final double PROBES_EACH = 5;
     /** Hosts asked for one tunnel, and the part of its setup goal that an answer may take. */
@@ -379,6 +381,7 @@
             tunnel.asked = host;
             tunnel.askedUntil = now + ASK_PATIENCE * tunnel.profile.setupGoal();
             asking.add(tunnel);
+            host.noted = false;
             ask(host);
         } else {
             send(tunnel, host);
@@ -591,7 +594,8 @@
                 continue;
             }
             draws--;
-            if (mayTake(host, tunnel) && !tunnel.tried.contains(host) && count(host) <= most) {
+            if (mayTake(host, tunnel) && !tunnel.tried.contains(host)
+                    && (count(host) <= most || !host.heard() && mayAsk(tunnel))) {
                 return host;
             }
         }
@@ -639,7 +643,7 @@
         }
         noneAnswers = reachable == 0;
         doubtful = 2 * healthy.size() < reachable;
-        healthy.removeIf(host -> !host.heard() || host.cold());
+        healthy.removeIf(host -> !host.heard() || host.cold() || host.noted);
         heard = healthy.size();
         for (Host host : healthy) {
             loads += host.load;
@@ -651,6 +655,10 @@
             sum += host.expectedLoad();
         }
         mean = heard == 0 ? 0 : sum / heard;
+        if (heard < Math.min(active, FEW)) {
+            // A few hosts don't tell that the fleet is busy: tunnels would be declined unasked.
+            mean = Math.min(mean, ROOMY);
+        }
         boolean known = deployment.reportsCapacity() && heard > 0;
         double load = known ? Math.min(1, Math.max(IDLE, loads / heard)) : 1;
         warmHostCanTake = completed.rate(now) / Math.max(1, active) / load;
@@ -664,16 +672,8 @@
 
     /** Who counts as active for this tunnel: hosts no busier than the mean, and near if there are any. */
     private List<Host> narrowed(List<Host> eligible) {
-        List<Host> level = new ArrayList<>();
-        List<Host> near = new ArrayList<>();
-        for (Host host : eligible) {
-            if (count(host) <= mean * LEVEL_SLACK) {
-                level.add(host);
-                if (host.near()) {
-                    near.add(host);
-                }
-            }
-        }
+        List<Host> level = eligible.stream().filter(host -> count(host) <= mean * LEVEL_SLACK).toList();
+        List<Host> near = level.stream().filter(Host::near).toList();
         return !near.isEmpty() ? near : !level.isEmpty() ? level : eligible;
     }
 
@@ -725,6 +725,7 @@
             if (host.listed && host.state != Listing.State.GONE && !host.probing) {
                 if (now >= host.nextProbe) {
                     ask(host);
+                    host.noted = false;
                     host.nextProbe = now + round * (0.9 + 0.2 * chance());
                 } else {
                     next = Math.min(next, host.nextProbe);
@@ -800,6 +801,8 @@
         if (host != null && deployment.mayProbe() && now >= host.nextNoted
                 && now > host.reportedAt + PERIOD) {
             host.nextNoted = now + MOVE_PAUSE * PERIOD;
+            // Only sinking hosts are noted: in the mean their figures would make the fleet look busy.
+            host.noted = true;
             ask(host);
         }
     }
@@ -822,12 +825,8 @@
     }
 
     private void moveSome(Host host, double share) {
-        List<Tunnel> standing = new ArrayList<>();
-        for (Tunnel tunnel : host.own.values()) {
-            if (tunnel.open && !tunnel.moving) {
-                standing.add(tunnel);
-            }
-        }
+        List<Tunnel> standing = new ArrayList<>(host.own.values());
+        standing.removeIf(tunnel -> !tunnel.open || tunnel.moving);
         // The last of a group to leave takes the group's cost along, so tunnels with few of theirs here
         // go first.
         standing.sort(Comparator.<Tunnel>comparingInt(tunnel -> held(tunnel.group, host))
@@ -881,6 +880,7 @@
         double nextMove = Double.NEGATIVE_INFINITY;
         int failuresInRow;
         double shunnedUntil = Double.NEGATIVE_INFINITY;
+        boolean noted;
         double silentUntil = Double.NEGATIVE_INFINITY;
         double nextNoted = Double.NEGATIVE_INFINITY;
         boolean probing;
--- a/src/test/java/embershift/Node.java
+++ b/src/test/java/embershift/Node.java
@@ -98,6 +98,11 @@
         return -1;
     }
 
+    int lastProbed() {
+        List<String> probes = said.stream().filter(line -> line.startsWith("probe")).toList();
+        return probes.isEmpty() ? -1 : Integer.parseInt(probes.get(probes.size() - 1).split(" h")[1]);
+    }
+
     long sentTo(int host) {
         return said.stream().filter(line -> line.startsWith("set up") && line.endsWith(" h" + host)).count();
     }
--- a/src/test/java/embershift/PolicyTest.java
+++ b/src/test/java/embershift/PolicyTest.java
@@ -281,6 +281,65 @@
         assertTrue(node.round(news -> { }).contains("wake"));
     }
 
+    @Test
+    public void fewSinkingHostsDoNotMakeTheFleetBusy() {
+        Node node = new Node(12);
+        node.round(news -> news.messageDelayNoted(Node.host(0), 0.4));
+        node.loads(1.2, 0.9, 0.95);
+        List<String> decided = node.arrive(0, 1, "g");
+        assertTrue(decided.stream().anyMatch(line -> line.startsWith("probe")), decided.toString());
+        assertEquals(node.count("decline"), 0);
+    }
+
+    @Test
+    public void hostIsAskedBeforeATunnelGoesThereAndRefusedByItsAnswer() {
+        Node node = new Node(40);
+        node.arrive(0, 1, "g");
+        int first = node.lastProbed();
+        assertEquals(node.count("probe") + node.count("set up"), 1);
+        node.round(news -> {
+            news.probeEnded(Node.host(first), true, 0.01);
+            news.hostReported(Node.host(first), 0.95, Double.NaN, Double.NaN);
+        });
+        int second = node.lastProbed();
+        assertNotEquals(second, first);
+        node.round(news -> {
+            news.probeEnded(Node.host(second), true, 0.01);
+            news.hostReported(Node.host(second), 0.3, Double.NaN, Double.NaN);
+        });
+        assertEquals(node.sentTo(second), 1);
+    }
+
+    @Test
+    public void placingStaysCheapInALargeFleet() {
+        Node node = new Node(200);
+        for (int i = 0; i < 50; i++) {
+            node.now += 3;
+            node.arrive(i, 1, "g" + i);
+            assertTrue(node.count("probe") <= 1, "probes for one tunnel: " + node.count("probe"));
+        }
+    }
+
+    @Test
+    public void hostThatGoesShiftsOnlyItsOwnGroups() {
+        int shifted = 0;
+        for (int group = 0; group < 40; group++) {
+            int before = homeAmong(8, -1, group);
+            int after = homeAmong(8, 7, group);
+            shifted += before != 7 && after != before ? 1 : 0;
+        }
+        assertTrue(shifted <= 8, shifted + " groups moved though their host stayed");
+    }
+
+    private static int homeAmong(int hosts, int gone, int group) {
+        Node node = new Node(hosts).loads(0.4, 0.4, 0.4, 0.4, 0.4, 0.4, 0.4, 0.4);
+        if (gone >= 0) {
+            node.round(news -> news.rosterChanged(List.of(Node.listing(gone, Listing.State.GONE, 0))));
+        }
+        node.arrive(0, 1, "g" + group);
+        return node.lastHost();
+    }
+
     @Test
     public void busyFleetDeclinesWhatWouldSpreadAGroup() {
         Node node = new Node(8).loads(0.78, 0.79, 0.79, 0.78, 0.95, 0.95, 0.95, 0.95);
