--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -42,7 +42,7 @@
     /** Seconds between two probes of a host, where tunnels arrive often enough to be worth it. */
     private static final double PERIOD = 1.0;
     /** Periods for which a host's figure can be placed by without asking the host again. */
-    private static final double FRESH = 2.2;
+    private static final double FRESH = 1.2;
     /** Periods after which a figure tells nothing any more. */
     private static final double KEPT = 16;
     /** Hosts whose figures together tell of the fleet. */
@@ -718,7 +718,7 @@
         double next = Double.POSITIVE_INFINITY;
         double rate = arrived.count(now) / Math.min(16 * PERIOD, now - startedAt + PERIOD);
         double round = Math.max(PERIOD, roll.size() / (PROBES_EACH * rate));
-        if (!deployment.mayProbe() || round > FRESH * PERIOD / 1.1) {
+        if (!deployment.mayProbe() || round > PERIOD * 2) {
             return next;
         }
         for (Host host : roll) {
