Near capacity each node keeps to its share of the room that reports show

Every node sent to the same hosts under 0.8, their loads passed 0.9 before a report showed it, tunnels were shed or moved and came again; every tunnel was set up anew each eight seconds. Other causes ruled out: hosts were evenly filled, copies of groups fell, setups opened in time. Change: the room under 0.8 over the heard hosts, scaled to the fleet and divided by the nodes, against the tunnels that arrive in a period times what one adds; of what is over twice the room, the excess is declined at once.

--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -52,8 +52,6 @@
     /** Hosts asked for one tunnel, and the part of its setup goal that an answer may take. */
     private static final int ASKS = 4;
     private static final double ASK_PATIENCE = 0.25;
-    /** Places for hosts that a group's numbers fall on; twice as many hosts double them. */
-    private static final int SEATS = 1024;
     /** What a node's own placement stands for at the most, with those that other nodes make meanwhile. */
     private static final int OTHERS = 5;
     private static final double SPAN = 256;
@@ -69,6 +67,8 @@
     private static final double SINKING = 0.9;
     /** Load over capacity from which a host takes no more: past it all its tunnels fare badly. */
     private static final double BRIMFUL = 0.8;
+    /** How often a period's room may be given away: some tunnels end, and some hosts' room is not found. */
+    private static final double ROOM_PROMISED = 2;
     /** Periods between two moves off a host. */
     private static final double MOVE_PAUSE = 2;
     /** A host is active while its load is no more than this multiple of the mean. */
@@ -95,9 +95,11 @@
     /** Where this node's tunnels of a group are, and how many. */
     private final Map<GroupId, Map<Host, Integer>> holders = new HashMap<>();
     /** The hosts by a number of their own: what a group's numbers fall on, alike at all nodes. */
-    private Host[] seats = new Host[0];
-    private final Ring arrived = new Ring(8, 2 * PERIOD);
+    private final Seats seats = new Seats();
+    private final Ring arrived = new Ring(8, PERIOD);
     private double startedAt;
+    /** The part of arriving tunnels that the fleet has room for. */
+    private double admitted = 1;
     /** Tunnels for which a host has been asked for its figures. */
     private List<Tunnel> asking = new ArrayList<>();
     private boolean surveyed;
@@ -213,14 +215,7 @@
             at++;
         }
         roll.add(at, host);
-        seats = new Host[Math.max(SEATS, 2 * Integer.highestOneBit(roll.size()) * 2)];
-        for (Host one : roll) {
-            int seat = (int) (scattered(numberOf(one.id.name())) >>> 33) & seats.length - 1;
-            while (seats[seat] != null) {
-                seat = seat + 1 & seats.length - 1;
-            }
-            seats[seat] = one;
-        }
+        seats.fill(roll);
     }
 
     private void rosterAnswered() {
@@ -532,6 +527,9 @@
      */
     private Host draw(Tunnel tunnel) {
         survey();
+        if (tunnel.asks == 0 && admitted < 1 && chance() >= admitted) {
+            return null;
+        }
         Host home = tunnel.group == null ? null : drawnForGroup(tunnel);
         if (home != null) {
             return home;
@@ -584,11 +582,11 @@
             return drawn(holding, chance() * SPAN);
         }
         most = limit(LEVEL_SLACK);
-        long number = numberOf(tunnel.group.name());
+        long number = Seats.numberOf(tunnel.group.name());
         int draws = mean > BUSY ? 1 : GROUP_DRAWS;
-        for (int k = 0; draws > 0 && k < 4 * seats.length; k++) {
-            long drawn = scattered(number + k);
-            Host host = seats[(int) (drawn >>> 33) & seats.length - 1];
+        for (int k = 0; draws > 0 && k < 4 * seats.size(); k++) {
+            long drawn = Seats.scattered(number + k);
+            Host host = seats.under(drawn);
             if (host == null || !host.takesNew() || nearOnly && !host.near()
                     || (drawn & 0xffff) / 65536.0 * mean * active >= mean * active - count(host)) {
                 continue;
@@ -602,19 +600,6 @@
         return null;
     }
 
-    private static long numberOf(String name) {
-        CRC32 crc = new CRC32();
-        crc.update(name.getBytes(StandardCharsets.UTF_8));
-        return crc.getValue() << 16;
-    }
-
-    /** Spreads numbers that lie close together or differ in few bits, as CRC32 leaves them. */
-    private static long scattered(long number) {
-        long mixed = (number + 1) * 0x9E3779B97F4A7C15L;
-        mixed = (mixed ^ mixed >>> 32) * 0xD6E8FEB86659FD93L;
-        return mixed ^ mixed >>> 32;
-    }
-
     private double limit(double slack) {
         return mean > BUSY ? BRIMFUL : Math.max(mean * slack, ROOMY);
     }
@@ -628,12 +613,14 @@
         double loads = 0;
         double tunnels = 0;
         int reachable = 0;
+        int warm = 0;
         List<Host> healthy = new ArrayList<>();
         active = 0;
         nearTake = false;
         for (Host host : roll) {
             if (host.takesNew()) {
                 active++;
+                warm += host.cold() ? 0 : 1;
                 reachable += host.silent() ? 0 : 1;
                 if (!host.silent() && !host.shunned()) {
                     healthy.add(host);
@@ -651,8 +638,10 @@
         }
         usualLoadOfOne = tunnels < 1 ? 0 : loads / tunnels;
         double sum = 0;
+        double sumOfRoom = 0;
         for (Host host : healthy) {
             sum += host.expectedLoad();
+            sumOfRoom += Math.max(0, BRIMFUL - host.expectedLoad());
         }
         mean = heard == 0 ? 0 : sum / heard;
         if (heard < Math.min(active, FEW)) {
@@ -661,7 +650,12 @@
         }
         boolean known = deployment.reportsCapacity() && heard > 0;
         double load = known ? Math.min(1, Math.max(IDLE, loads / heard)) : 1;
-        warmHostCanTake = completed.rate(now) / Math.max(1, active) / load;
+        // Nodes that all see the same little room would fill it many times over before a report shows it:
+        // hosts would sink, shed and be filled again. So each keeps to its share of the room.
+        double room = ROOM_PROMISED * sumOfRoom / Math.max(1, heard) * active / deployment.nodes();
+        double inflow = arrived.rate(now) * PERIOD * usualLoadOfOne;
+        admitted = !known || heard < Math.min(active, FEW) || room >= inflow ? 1 : room / inflow;
+        warmHostCanTake = completed.rate(now) / Math.max(1, warm) / load;
     }
 
     /** The design's count_i: hosts not heard from, and warming ones that report less, take the mean. */
@@ -716,7 +710,7 @@
      */
     private double probe() {
         double next = Double.POSITIVE_INFINITY;
-        double rate = arrived.count(now) / Math.min(16 * PERIOD, now - startedAt + PERIOD);
+        double rate = arrived.count(now) / Math.min(8 * PERIOD, now - startedAt + PERIOD);
         double round = Math.max(PERIOD, roll.size() / (PROBES_EACH * rate));
         if (!deployment.mayProbe() || round > PERIOD * 2) {
             return next;
--- a/src/test/java/embershift/PolicyTest.java
+++ b/src/test/java/embershift/PolicyTest.java
@@ -18,6 +18,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 public class PolicyTest {
 
@@ -281,6 +282,40 @@
         assertTrue(node.round(news -> { }).contains("wake"));
     }
 
+    @Test
+    public void nodesKeepToTheirShareOfALittleRoom() {
+        Node node = new Node(4).loads(0, 0, 0, 0);
+        node.arrive(0, 40, null);
+        node.loads(0.79, 0.79, 0.79, 0.79);
+        node.arrive(100, 40, null);
+        assertTrue(node.count("set up") < 20, "sent " + node.count("set up"));
+        node.now += 10;
+        node.loads(0.3, 0.3, 0.3, 0.3);
+        node.arrive(200, 10, null);
+        assertEquals(node.count("set up"), 10);
+    }
+
+    @Test
+    public void newHostsDoNotShrinkAColdHostsPart() {
+        Node node = new Node(1).loads(0.5);
+        node.arrive(0, 40, null);
+        node.round(news -> {
+            for (int i = 0; i < 40; i++) {
+                news.tunnelOpened(Node.tun(i), 0, Node.host(0), 0.1);
+                news.setupEnded(Node.tun(i), 0, Node.host(0), SetupEnd.COMPLETED, 1, true);
+            }
+            news.rosterChanged(IntStream.range(1, 30)
+                    .mapToObj(i -> Node.listing(i, Listing.State.READY, 100)).toList());
+        });
+        node.arrive(100, 1, null);
+        node.now += 1;
+        node.loads(0.5);
+        node.round(news -> IntStream.range(1, 30).forEach(i -> news.probeEnded(Node.host(i), true, 0.01)));
+        node.arrive(101, 60, null);
+        long cold = node.count("set up") - node.sentTo(0);
+        assertTrue(cold >= 15, "sent to cold hosts: " + cold);
+    }
+
     @Test
     public void fewSinkingHostsDoNotMakeTheFleetBusy() {
         Node node = new Node(12);
