--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -47,7 +47,7 @@
     private static final double KEPT = 16;
     /** Hosts whose figures together tell of the fleet. */
     private static final int FEW = 4;
-    /** Probes that an arriving tunnel is worth; where they can't keep all figures fresh, hosts are asked. */
+    /** Probes that a placed tunnel is worth; where they can't keep all figures fresh, hosts are asked. */
     private static final double PROBES_EACH = 5;
     /** Hosts asked for one tunnel, and the part of its setup goal that an answer may take. */
     private static final int ASKS = 4;
@@ -97,6 +97,7 @@
     /** The hosts by a number of their own: what a group's numbers fall on, alike at all nodes. */
     private final Seats seats = new Seats();
     private final Ring arrived = new Ring(8, PERIOD);
+    private final Ring placed = new Ring(8, PERIOD);
     private double startedAt;
     /** The part of arriving tunnels that the fleet has room for. */
     private double admitted = 1;
@@ -503,6 +504,7 @@
             mean += host.loadOfOne() / heard;
         }
         host.placedSinceReport++;
+        placed.add(now, 0, 1);
         host.coldCredit -= 1;
         decisions.setUp(tunnel.id, host.id, timeOut);
     }
@@ -704,13 +706,13 @@
     // ---- Probes, reports and the hosts' health ----
 
     /**
-     * Keeps all figures fresh where the tunnels that arrive are worth that many probes; where nodes are
-     * many and each has few tunnels, hosts are only asked for a tunnel that may go there. Returns when
-     * the next probe is due.
+     * Keeps all figures fresh where the tunnels placed are worth that many probes; where nodes are many and
+     * each has few tunnels, hosts are only asked for a tunnel that may go there. Tunnels that are declined
+     * come again many times: they are worth none. Returns when the next probe is due.
      */
     private double probe() {
         double next = Double.POSITIVE_INFINITY;
-        double rate = arrived.count(now) / Math.min(8 * PERIOD, now - startedAt + PERIOD);
+        double rate = placed.count(now) / Math.min(8 * PERIOD, now - startedAt + PERIOD);
         double round = Math.max(PERIOD, roll.size() / (PROBES_EACH * rate));
         if (!deployment.mayProbe() || round > PERIOD * 2) {
             return next;
--- a/src/test/java/embershift/PolicyTest.java
+++ b/src/test/java/embershift/PolicyTest.java
@@ -316,6 +316,15 @@
         assertTrue(cold >= 15, "sent to cold hosts: " + cold);
     }
 
+    @Test
+    public void declinedTunnelsAreWorthNoProbes() {
+        Node node = new Node(4).loads(0.95, 0.95, 0.95, 0.95);
+        node.arrive(0, 40, null);
+        assertEquals(node.count("decline"), 40);
+        node.now += 3;
+        assertFalse(node.round(news -> { }).stream().anyMatch(line -> line.startsWith("probe")));
+    }
+
     @Test
     public void fewSinkingHostsDoNotMakeTheFleetBusy() {
         Node node = new Node(12);
