--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -44,7 +44,7 @@
     /** Periods for which a host's figure can be placed by without asking the host again. */
     private static final double FRESH = 1.2;
     /** Periods after which a figure tells nothing any more. */
-    private static final double KEPT = 16;
+    private static final double KEPT = 4;
     /** Hosts whose figures together tell of the fleet. */
     private static final int FEW = 4;
     /** Probes that a placed tunnel is worth; where they can't keep all figures fresh, hosts are asked. */
@@ -90,19 +90,19 @@
     /** The hosts by name: the one order of every loop. */
     private final List<Host> roll = new ArrayList<>();
     private final Map<TunnelId, Tunnel> table = new LinkedHashMap<>();
-    /** Where packets of a passed-through tunnel last went, to send them there again while they are kept. */
-    private final Map<SubjectId, Parting> partings = new LinkedHashMap<>();
+    private final Partings partings;
     /** Where this node's tunnels of a group are, and how many. */
     private final Map<GroupId, Map<Host, Integer>> holders = new HashMap<>();
     /** The hosts by a number of their own: what a group's numbers fall on, alike at all nodes. */
     private final Seats seats = new Seats();
     private final Ring arrived = new Ring(8, PERIOD);
-    private final Ring placed = new Ring(8, PERIOD);
     private double startedAt;
+    private final Ring placed = new Ring(8, PERIOD);
     /** The part of arriving tunnels that the fleet has room for. */
     private double admitted = 1;
     /** Tunnels for which a host has been asked for its figures. */
     private List<Tunnel> asking = new ArrayList<>();
+    private double nextLook = Double.NEGATIVE_INFINITY;
     private boolean surveyed;
     private double mean;
     private int active;
@@ -137,6 +137,7 @@
 
     public Policy(Deployment deployment) {
         this.deployment = deployment;
+        this.partings = new Partings(deployment.parkedFor());
         this.rosterPatience = deployment.mustAskWithin() / 4;
         for (Profile profile : deployment.profiles()) {
             profiles.put(profile.id(), profile);
@@ -149,9 +150,7 @@
         this.now = now;
         this.decisions = decisions;
         surveyed = false;
-        if (first) {
-            startedAt = now;
-        }
+        startedAt = first ? now : startedAt;
         if (now >= wokenAt - PERIOD / 1000) {
             // A clock of whole steps may wake the node a step early: without a new wake-up it would sleep
             // past its tunnels' client timeouts (rule 1).
@@ -255,10 +254,9 @@
         Tunnel tunnel = new Tunnel(id, row, subject, group, now + timeLeft);
         table.put(id, tunnel);
         arrived.add(now, 0, 1);
-        Parting parting = subject == null ? null : partings.remove(subject);
-        if (parting != null && midFlow && now - parting.at < deployment.parkedFor()
-                && parting.host.listed && parting.host.state == Listing.State.READY) {
-            send(tunnel, parting.host);
+        Host last = midFlow ? partings.recall(subject, now) : null;
+        if (last != null && last.takesNew()) {
+            send(tunnel, last);
         } else {
             place(tunnel);
         }
@@ -338,7 +336,7 @@
         if (over) {
             table.remove(id);
             if (deployment.tunnelsPassThrough() && tunnel.subject != null && host != null && tunnel.open) {
-                rememberParting(tunnel.subject, host);
+                partings.remember(tunnel.subject, host, now);
             }
         } else if (current) {
             if (!end.neverRan()) {
@@ -352,14 +350,6 @@
         }
     }
 
-    private void rememberParting(SubjectId subject, Host host) {
-        partings.remove(subject);
-        partings.put(subject, new Parting(host, now));
-        while (now - partings.values().iterator().next().at > deployment.parkedFor()) {
-            partings.remove(partings.keySet().iterator().next());
-        }
-    }
-
     /** Sends the tunnel's next setup, or gives its final answer at once where none can or may be sent. */
     private void place(Tunnel tunnel) {
         double left = tunnel.clientGivesUpAt - now;
@@ -372,6 +362,9 @@
         Host host = worthSending && out < window ? draw(tunnel) : null;
         if (host == null) {
             giveUp(tunnel);
+            if (worthSending) {
+                lookAround();
+            }
         } else if (mayAsk(tunnel) && !host.fresh()) {
             tunnel.asks++;
             tunnel.asked = host;
@@ -384,6 +377,18 @@
         }
     }
 
+    /** Guards against a view that stays dark: who declines without asking would never hear of new room. */
+    private void lookAround() {
+        if (deployment.mayProbe() && now >= nextLook && !roll.isEmpty()) {
+            nextLook = now + PERIOD;
+            Host host = roll.get((int) (chance() * roll.size()));
+            if (host.takesNew()) {
+                host.noted = false;
+                ask(host);
+            }
+        }
+    }
+
     /** A figure is worth a wait while the setup that follows still has time for its goal. */
     private boolean mayAsk(Tunnel tunnel) {
         return deployment.mayProbe() && tunnel.asks < ASKS
@@ -696,7 +701,7 @@
         return n == 1 ? SPAN : total <= 0 ? SPAN / n : SPAN * (total - count) / (total * (n - 1));
     }
 
-    /** A number from [0, 1), from the node's seed and a counter. */
+    /** A number from [0, 1). */
     private double chance() {
         CRC32 crc = new CRC32();
         crc.update(ByteBuffer.allocate(16).putLong(deployment.seed()).putLong(draws++).array());
@@ -792,13 +797,12 @@
 
     @Override
     public void messageDelayNoted(HostId at, double delay) {
-        // Where hosts are asked only for new tunnels, a sinking one that gets none must be asked too.
+        // Guards hosts that sink while no tunnel is to go there: they would not be asked.
         Host host = hosts.get(at);
         if (host != null && deployment.mayProbe() && now >= host.nextNoted
                 && now > host.reportedAt + PERIOD) {
             host.nextNoted = now + MOVE_PAUSE * PERIOD;
-            // Only sinking hosts are noted: in the mean their figures would make the fleet look busy.
-            host.noted = true;
+            host.noted = true;  // in the mean, noted hosts would make the fleet look busy
             ask(host);
         }
     }
@@ -855,9 +859,6 @@
         }
     }
 
-    private record Parting(Host host, double at) {
-    }
-
     final class Host {
         final HostId id;
         final Map<TunnelId, Tunnel> own = new LinkedHashMap<>();
