--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -759,9 +759,9 @@
         if (host != null) {
             double load = !Double.isNaN(loadOverCapacity) ? loadOverCapacity
                     : !Double.isNaN(openTunnels) ? openTunnels : queued;
-            if (!Double.isNaN(load)) {
+            if (load >= 0 && load < Double.POSITIVE_INFINITY) {  // else senseless: the figure before stands
                 host.load = load;
-                host.openThere = openTunnels;
+                host.openThere = openTunnels >= 0 ? openTunnels : Double.NaN;
                 host.reportedAt = now;
                 host.placedSinceReport = 0;
                 moveOffSinking(host);
--- a/src/test/java/embershift/PolicyTest.java
+++ b/src/test/java/embershift/PolicyTest.java
@@ -337,6 +337,24 @@
         assertEquals(node.arrive(80, 40, null).stream().filter(line -> line.startsWith("probe")).count(), 1);
     }
 
+    @DataProvider
+    public Object[][] senseless() {
+        return new Object[][] {{Double.NaN}, {-1.0}, {Double.POSITIVE_INFINITY}, {Double.NEGATIVE_INFINITY}};
+    }
+
+    @Test(dataProvider = "senseless")
+    public void senselessReportDoesNotShiftTheDraw(double figure) {
+        Node told = new Node(4).loads(0.2, 0.3, 0.2, 0.3);
+        told.round(news -> news.hostReported(Node.host(0), figure, figure, figure));
+        assertEquals(told.arrive(0, 20, null), new Node(4).loads(0.2, 0.3, 0.2, 0.3).arrive(0, 20, null));
+    }
+
+    @Test
+    public void nodeWithoutHostsDeclinesAtOnce() {
+        Node node = new Node(0);
+        assertEquals(node.arrive(0, 1, "g").get(0), "decline t0 with advice");
+    }
+
     @Test
     public void fewSinkingHostsDoNotMakeTheFleetBusy() {
         Node node = new Node(12);
