--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -75,8 +75,6 @@
     private static final double LEVEL_SLACK = 1.05;
     /** The same for hosts that hold the tunnel's group: elsewhere it would cost more. */
     private static final double HOLDER_SLACK = 1.15;
-    /** What of its part a node sends to a cold host: the rest is for chance, and for what it can't know. */
-    private static final double COLD_CAUTION = 0.5;
     /** How much longer than its goal, or the recent mean, a setup may take before it is tried elsewhere. */
     private static final double SLOW_SETUP = 3;
     /** A setup that has little time left, against its goal, is not worth sending. */
@@ -934,7 +932,7 @@
         boolean coldMayTake() {
             double climbed = 1 - (coldUntil - now) / deployment.warmAfter();
             double part = deployment.coldFrom() + (1 - deployment.coldFrom()) * Math.max(0, climbed);
-            double rate = deployment.fallMultiple() * part * warmHostCanTake * COLD_CAUTION;
+            double rate = deployment.fallMultiple() * part * warmHostCanTake;
             double most = Math.max(1, rate * deployment.fallAfter());
             coldCredit = Math.min(coldCredit + rate * (now - coldCreditAt), most);
             coldCreditAt = now;
