Connections without a first line make room for those that speak, and end within 2 s

At fault: Router.listen stopped accepting at half of the descriptors, while a connection that had asked PING was kept 60 s (PING_KEPT) and a silent one 5 s (FIRST_LINE); some 300 of them left everybody else waiting at the system.

Now all that may be held before a whole OPEN is owned by Strangers: two seconds from the accept, pings or not, and of the descriptors what tunnels leave. When these run short, who was turned away and lingers goes first, then who has said nothing for the longest. Accepts come eight in a row, so what came in is read before more comes; they pause only where no room can be made. A finished link reads and drops 1 MB at the most.

--- a/src/main/java/embershift/routing/Ageing.java
+++ b/src/main/java/embershift/routing/Ageing.java
@@ -35,6 +35,11 @@
         return since.containsKey(thing);
     }
 
+    /** The one that waits the longest, or null. */
+    T oldest() {
+        return since.isEmpty() ? null : since.keySet().iterator().next();
+    }
+
     /** Those that wait now, oldest first. */
     List<T> all() {
         return new ArrayList<>(since.keySet());
--- a/src/main/java/embershift/routing/Passage.java
+++ b/src/main/java/embershift/routing/Passage.java
@@ -21,11 +21,14 @@
 
     /** What a client may send ahead of its host's answer before it is no longer read. */
     private static final int AHEAD = 8 * 1024;
+    /** Questions that one connection may ask before it opens: hundreds at once are no front's. */
+    private static final int MOST_PINGS = 16;
 
     private final Router router;
     private final Link client;
     private State state = State.GREETING;
     private Line greeting = new Line();
+    private int pings;
     private Opening opening;
     private double clientTimeoutAt;
     private ByteBuffer ahead;
@@ -65,11 +68,11 @@
             if (router.leaving()) {
                 throw new Unreadable("this node stops");
             }
+            if (++pings > MOST_PINGS) {
+                throw new Unreadable("too many questions");
+            }
             router.tally().count("pings answered");
             client.write(Line.of("PONG"));
-            router.greetings().end(this);
-            router.pings().end(this);
-            router.pings().begin(this, router.now());
             return;
         }
         if (!Opening.isOne(text)) {
@@ -81,8 +84,7 @@
             throw new Unreadable("this id has been used");
         }
         greeting = null;
-        router.greetings().end(this);
-        router.pings().end(this);
+        router.strangers().end(this);
         double margin = Router.margin(opening.clientTimeout());
         clientTimeoutAt = router.now() + opening.clientTimeout() - margin;
         state = State.TAKEN;
@@ -107,31 +109,21 @@
         router.tally().count("first lines refused");
         client.write(Line.of("ERR " + why));
         over();
-        endClient();
+        client.finish();
     }
 
-    /** Lets the last words arrive; where descriptors run short the connection can't linger for that. */
-    private void endClient() {
-        if (router.crowded()) {
-            client.close();
-        } else {
-            client.finish();
+    /** No whole first line has come in time, or others need the room: who only asked needs no word. */
+    void greetingOver(String word) {
+        if (pings == 0) {
+            client.write(Line.of(word));
         }
-    }
-
-    void greetingTooLong() {
-        refuse("no first line came");
-    }
-
-    void pingTooOld() {
         over();
         client.finish();
     }
 
     private void over() {
         if (state == State.GREETING) {
-            router.greetings().end(this);
-            router.pings().end(this);
+            router.strangers().end(this);
         }
         if (overdue != null) {
             overdue.cancel();
@@ -181,7 +173,7 @@
         router.tally().count(counted);
         client.write(Line.of(line));
         over();
-        endClient();
+        client.finish();
         router.forget(this);
     }
 
--- a/src/main/java/embershift/routing/Router.java
+++ b/src/main/java/embershift/routing/Router.java
@@ -37,8 +37,6 @@
     private static final double MOST_MARGIN = 0.1;
     /** Seconds until a tunnel that stood before is sent to its host again, where that did not take it. */
     private static final double RESUME_AGAIN = 0.25;
-    private static final double FIRST_LINE = 5;
-    private static final double PING_KEPT = 60;
     /** Seconds after which a line that brought none back is looked into, as its host may have vanished. */
     static final double QUIET = 1.5;
     /** Seconds more after which its tunnel is ended in any case. */
@@ -47,8 +45,6 @@
     private static final double SWEEP = 0.1;
     private static final double LEAST_WAKE = 0.002;
     private static final int MOST_FAULTS = 20;
-    /** Descriptors kept free, so that clients can still be answered and hosts and discovery reached. */
-    private static final int RESERVE = 64;
     /** Part of the connect time-out, and its multiple, that setups given up and probes are waited for. */
     private static final double END_PATIENCE = 0.4;
     private static final double PROBE_PATIENCE = 1.6;
@@ -63,15 +59,12 @@
     private final Map<TunnelId, Passage> passages = new HashMap<>();
     private final Map<HostId, Contact> contacts = new HashMap<>();
     private final List<Passage> unplaced = new ArrayList<>();
-    private final Ageing<Passage> greetings = new Ageing<>(FIRST_LINE);
-    private final Ageing<Passage> pings = new Ageing<>(PING_KEPT);
+    private final Strangers strangers;
     private final Ageing<Passage> silences = new Ageing<>(QUIET);
     private final Ageing<Passage> longSilences = new Ageing<>(SILENCE);
     private final Ageing<Passage> endings = new Ageing<>(ENDING);
     private final Roster roster;
     private final Peers peers;
-    private final int sockets;
-    private int mostIncoming;
     private final double connectTimeout;
     private final double slowMessage;
     private List<Consumer<News>> arrivals = new ArrayList<>();
@@ -88,7 +81,7 @@
         connectTimeout = deployment.connectTimeout() > 0 ? deployment.connectTimeout() : 0.25;
         slowMessage = SLOW_MESSAGE * deployment.profiles().stream()
                 .mapToDouble(Deployment.Profile::setupGoal).min().orElse(1);
-        sockets = configuration.sockets();
+        strangers = new Strangers(loop, tally, configuration.sockets());
         roster = new Roster(this, configuration.discovery());
         peers = new Peers(this, configuration);
         if (configuration.known() != null) {
@@ -105,21 +98,12 @@
 
     private void accepted(Link link) {
         tally.count("connections taken in");
-        greetings.begin(new Passage(this, link), now());
+        strangers.begin(new Passage(this, link));
     }
 
-    /**
-     * Listens for clients. Each tunnel takes two descriptors, so half of those at hand may come in; the last
-     * of them are kept for clients that are only to be declined.
-     */
+    /** Listens for clients. */
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
-        mostIncoming = Math.max(RESERVE, (sockets - loop.descriptors() - RESERVE) / 2);
-        return loop.listen(address, mostIncoming, this::accepted);
-    }
-
-    /** Whether a further tunnel would come too close to the limit on descriptors. */
-    boolean crowded() {
-        return loop.descriptors() > sockets - RESERVE || loop.incoming() > mostIncoming - RESERVE / 2;
+        return loop.listen(address, strangers::mayAccept, this::accepted);
     }
 
     /** The node is to stop: the module moves what is here. */
@@ -176,12 +160,8 @@
         return slowMessage;
     }
 
-    Ageing<Passage> greetings() {
-        return greetings;
-    }
-
-    Ageing<Passage> pings() {
-        return pings;
+    Strangers strangers() {
+        return strangers;
     }
 
     Ageing<Passage> silences() {
@@ -198,8 +178,7 @@
 
     private void sweep() {
         double now = now();
-        greetings.expire(now, Passage::greetingTooLong);
-        pings.expire(now, Passage::pingTooOld);
+        strangers.expire(now);
         silences.expire(now, Passage::quiet);
         longSilences.expire(now, Passage::silent);
         endings.expire(now, Passage::endingTooLong);
@@ -266,7 +245,7 @@
         Opening opening = passage.opening();
         passages.put(opening.id(), passage);
         tally.count("tunnels taken");
-        if (crowded() && opening.standingAt() == null) {
+        if (!strangers.makeRoom() && opening.standingAt() == null) {
             // Guards the descriptors: with none left, nothing could be taken in or answered at all. What
             // stood before has been promised its place.
             tally.count("tunnels declined for want of descriptors");
--- /dev/null
+++ b/src/main/java/embershift/routing/Strangers.java
@@ -0,0 +1,72 @@
+package embershift.routing;
+
+import embershift.transport.Loop;
+
+/**
+ * The connections from which no tunnel has come yet, and what they may hold: a time, and of the descriptors
+ * only what tunnels leave. When these run short, who was turned away goes first, then who says nothing.
+ */
+final class Strangers {
+
+    /**
+     * Seconds from the accept within which a whole first line must have come, however many questions come
+     * before it. Clients send theirs at once; within three seconds all others must have heard.
+     */
+    private static final double FIRST_LINE = 2;
+    /** Descriptors kept free, so that clients can still be answered and hosts and discovery reached. */
+    private static final int RESERVE = 32;
+
+    private final Loop loop;
+    private final Tally tally;
+    private final int sockets;
+    private final Ageing<Passage> waiting = new Ageing<>(FIRST_LINE);
+
+    Strangers(Loop loop, Tally tally, int sockets) {
+        this.loop = loop;
+        this.tally = tally;
+        this.sockets = sockets;
+    }
+
+    void begin(Passage passage) {
+        waiting.begin(passage, loop.now());
+    }
+
+    void end(Passage passage) {
+        waiting.end(passage);
+    }
+
+    void expire(double now) {
+        waiting.expire(now, passage -> {
+            tally.count("connections silent for too long");
+            passage.greetingOver("ERR no first line came");
+        });
+    }
+
+    /** Whether a tunnel may take the descriptors that it needs, once strangers have made room. */
+    boolean makeRoom() {
+        return leaves(RESERVE);
+    }
+
+    /** Whether a further connection may come in: even one that is only to be declined has to be read. */
+    boolean mayAccept() {
+        boolean may = leaves(RESERVE / 2);
+        if (!may) {
+            tally.count("accepts paused");
+        }
+        return may;
+    }
+
+    private boolean leaves(int free) {
+        while (loop.descriptors() > sockets - free) {
+            Passage silent = waiting.oldest();
+            if (!loop.closeLingering()) {
+                if (silent == null) {
+                    return false;
+                }
+                tally.count("connections turned away for want of descriptors");
+                silent.greetingOver("BUSY");
+            }
+        }
+        return true;
+    }
+}
--- a/src/main/java/embershift/transport/Link.java
+++ b/src/main/java/embershift/transport/Link.java
@@ -45,11 +45,12 @@
     private static final int READS = 4;
     /** Seconds for which the peer may go on after the link was finished. */
     private static final double LINGER = 1.0;
-    /** The same for a peer that has not yet taken all that was written. */
+    /** Bytes read and dropped in that time at the most: a peer that sends at full speed costs no more. */
+    private static final int DROPPED = 1 << 20;
+    /** Seconds for a peer that has not yet taken all that was written. */
     private static final double SLOW_LINGER = 20.0;
 
     private final Loop loop;
-    private final boolean cameIn;
     private Events events;
     private StreamConnection connection;
     private IoFuture<StreamConnection> connecting;
@@ -59,18 +60,17 @@
     private boolean sendingEnded;
     private boolean peerEnded;
     private boolean finished;
+    private int dropped;
     private boolean closed;
 
     Link(Loop loop, Events events) {
         this.loop = loop;
-        this.cameIn = false;
         this.events = events;
     }
 
     /** An accepted connection; it is not read before its events are set. */
     Link(Loop loop, StreamConnection connection) {
         this.loop = loop;
-        this.cameIn = true;
         this.connection = connection;
         hook();
     }
@@ -136,6 +136,10 @@
             }
             if (!finished) {
                 events.received(buffer.flip());
+            } else {
+                dropped += count;
+                receive(dropped < DROPPED);
+                return;
             }
         }
     }
@@ -289,6 +293,7 @@
             return;
         }
         finished = true;
+        loop.lingers(this);
         receive(true);
         endSending();
         if (!closed) {
@@ -315,7 +320,7 @@
             return;
         }
         closed = true;
-        loop.closed(cameIn);
+        loop.closed(this);
         if (pending != null) {
             pending.forEach(loop.buffers()::giveBack);
             pending = null;
--- a/src/main/java/embershift/transport/Loop.java
+++ b/src/main/java/embershift/transport/Loop.java
@@ -14,9 +14,12 @@
 import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -30,6 +33,10 @@
     /** Descriptors that the loop itself takes for its selectors. */
     private static final int OWN_FILES = 12;
     private static final int BACKLOG = 1024;
+    /** Accepts in a row before other sockets get their turn. */
+    private static final int ACCEPTS = 8;
+    /** Seconds until accepts go on that were stopped for want of room. */
+    private static final double ACCEPT_AGAIN = 0.02;
     /** Seconds from which a timer counts as late, and for which it then lets the sockets go first. */
     private static final double LATE = 0.05;
     private static final double WAVE = 0.02;
@@ -44,7 +51,8 @@
     private final double epoch;
     private final int files;
     private int sockets;
-    private int incoming;
+    /** Links that were finished and whose peers have not ended yet, the longest finished first. */
+    private final Set<Link> lingering = new LinkedHashSet<>();
 
     public Loop() throws IOException {
         QUIET.forEach(logger -> logger.setLevel(Level.WARNING));
@@ -139,28 +147,46 @@
         sockets++;
     }
 
-    void closed(boolean cameIn) {
+    void closed(Link link) {
         sockets--;
-        incoming -= cameIn ? 1 : 0;
+        lingering.remove(link);
     }
 
-    /** Connections that came in and are still open. */
-    public int incoming() {
-        return incoming;
+    void lingers(Link link) {
+        lingering.add(link);
+    }
+
+    /** Closes the link that was finished the longest ago, if any lingers: its last words are out. */
+    public boolean closeLingering() {
+        if (lingering.isEmpty()) {
+            return false;
+        }
+        lingering.iterator().next().close();
+        return true;
     }
 
     /**
-     * Hands each connection that comes in to {@code accepted}; returns where it listens. While {@code most}
-     * of them are open, others wait at the system: an accept that fails for want of descriptors would have
+     * Hands each connection that comes in to {@code accepted}; returns where it listens. Without
+     * {@code room} connections wait at the system: an accept that fails for want of descriptors would have
      * the library look away for up to half a minute.
      */
-    public InetSocketAddress listen(InetSocketAddress address, int most, Consumer<Link> accepted)
+    public InetSocketAddress listen(InetSocketAddress address, BooleanSupplier room, Consumer<Link> accepted)
             throws IOException {
         ChannelListener<AcceptingChannel<StreamConnection>> listener = server -> {
             try {
-                for (StreamConnection next = server.accept(); next != null; next = server.accept()) {
+                // Between a few accepts all sockets get their turn: what has just come in is read before
+                // more comes, and a flood of connections does not keep the others waiting.
+                for (int i = 0; i < ACCEPTS; i++) {
+                    if (!room.getAsBoolean()) {
+                        server.suspendAccepts();
+                        after(ACCEPT_AGAIN, server::resumeAccepts);
+                        return;
+                    }
+                    StreamConnection next = server.accept();
+                    if (next == null) {
+                        return;
+                    }
                     opened();
-                    incoming++;
                     accepted.accept(new Link(this, next));
                 }
             } catch (IOException e) {
@@ -171,8 +197,6 @@
         try {
             server = worker.createStreamConnectionServer(address, listener,
                     OptionMap.builder().addAll(STREAM).set(Options.BACKLOG, BACKLOG)
-                            .set(Options.CONNECTION_HIGH_WATER, most)
-                            .set(Options.CONNECTION_LOW_WATER, most - 1)
                             .set(Options.REUSE_ADDRESSES, true).getMap());
         } catch (IOException e) {
             throw named(address, e);
--- a/src/test/java/embershift/routing/RouterTest.java
+++ b/src/test/java/embershift/routing/RouterTest.java
@@ -421,10 +421,30 @@
     @Test
     public void tunnelsAreDeclinedBeforeDescriptorsRunOut() throws Exception {
         ServerSocket host = listening();
-        start("10", host);
+        start("" + (on(loop::descriptors) + 24), host);
         assertEquals(hear(client("OPEN i k c=p,d=3000\r\n")), "BUSY");
     }
 
+    @Test
+    public void connectionsWithoutAFirstLineMakeRoomAndEndInTime() throws Exception {
+        ServerSocket host = listening();
+        start("" + (on(loop::descriptors) + 48), host);
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            silent.add(client(i % 2 == 0 ? "" : "OPEN half"));
+        }
+        opened(host);
+        long from = System.nanoTime();
+        for (Socket each : silent) {
+            assertTrue(List.of("BUSY", "ERR no first line came").contains(hear(each)));
+            assertEquals(hear(each), null);
+        }
+        Socket asking = client("PING\r\n");
+        assertEquals(hear(asking), "PONG");
+        assertEquals(hear(asking), null);
+        assertTrue((System.nanoTime() - from) / 1e9 < 6);
+    }
+
     @Test
     public void changedListMovesWhatStandsAtADrainingHost() throws Exception {
         ServerSocket host = listening();
--- a/src/test/java/embershift/transport/LoopTest.java
+++ b/src/test/java/embershift/transport/LoopTest.java
@@ -38,7 +38,8 @@
 
     @Test
     public void afterAPauseOfTheProcessSocketsGoBeforeLateTimers() throws Exception {
-        InetSocketAddress address = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 8,
+        InetSocketAddress address = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                () -> true,
                 link -> link.events(new Link.Events() {
                     @Override
                     public void received(ByteBuffer bytes) {
