SIGHUP reads the configuration again; discovery moves at once, with a whole list

At fault: Service handled SIGHUP with printTally, and Roster's address was final.

Now a reading that is sound moves the watch at once, giving up what is still out at the old address; peers and the limit on sockets follow; name, listen, peer_listen and settings are named in the log as needing a restart; a file that can't be read changes nothing. Counters are printed at SIGUSR1. The signal is handled before the node can be seen to be ready.

--- a/src/main/java/embershift/program/Main.java
+++ b/src/main/java/embershift/program/Main.java
@@ -33,9 +33,8 @@
     private static final class Serve extends Configured implements Command {
         @Override
         public int run() throws IOException, Unreadable {
-            NodeConfiguration configuration = read();
             try {
-                new Service(configuration, new Log(System.err)).start();
+                new Service(this::read, new Log(System.err)).start();
             } catch (IOException e) {
                 throw new Unreadable(e.getMessage());
             }
--- a/src/main/java/embershift/program/Service.java
+++ b/src/main/java/embershift/program/Service.java
@@ -2,12 +2,14 @@
 
 import embershift.model.Deployment;
 import embershift.protocol.NodeConfiguration;
+import embershift.protocol.Unreadable;
 import embershift.routing.Router;
 import embershift.transport.Loop;
 import sun.misc.Signal;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -29,17 +31,24 @@
     /** Seconds for which last words may still go out. */
     private static final double LAST_WORDS = 0.1;
 
-    private final NodeConfiguration configuration;
+    /** Where the configuration is read, at the start and whenever it has been replaced. */
+    interface Source {
+        NodeConfiguration read() throws Unreadable;
+    }
+
+    private final Source source;
     private final Log log;
+    private final NodeConfiguration configuration;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private Phase phase = Phase.STARTING;
     private Loop loop;
     private Router router;
     private double leavingSince;
 
-    Service(NodeConfiguration configuration, Log log) {
-        this.configuration = configuration;
+    Service(Source source, Log log) throws Unreadable {
+        this.source = source;
         this.log = log;
+        configuration = source.read();
     }
 
     /** Listens, and returns; the node then lives on its loop. Fails where it can't listen. */
@@ -47,6 +56,9 @@
         loop = new Loop();
         CompletableFuture<Void> serving = new CompletableFuture<>();
         loop.execute(() -> serve(serving));
+        // Before the node can be seen to be ready: unhandled, both signals would end the program.
+        Signal.handle(new Signal("HUP"), signal -> reload());
+        Signal.handle(new Signal("USR1"), signal -> loop.execute(this::printTally));
         try {
             serving.join();
         } catch (CompletionException e) {
@@ -54,7 +66,6 @@
             throw new IOException(e.getCause().getMessage(), e.getCause());
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::leaveAndWait, "leave"));
-        Signal.handle(new Signal("HUP"), signal -> loop.execute(this::printTally));
     }
 
     private void serve(CompletableFuture<Void> serving) {
@@ -74,6 +85,28 @@
         log.line(configuration.name() + " " + phase.name().toLowerCase(Locale.ROOT));
     }
 
+    /** Reads the configuration again; one after the other, so that the latest reading holds at the end. */
+    private synchronized void reload() {
+        try {
+            NodeConfiguration next = source.read();
+            loop.execute(() -> goBy(next));
+        } catch (Unreadable e) {
+            loop.execute(() -> {
+                router.tally().count("configurations refused");
+                log.line("the configuration before stays in force: " + e.getMessage());
+            });
+        }
+    }
+
+    private void goBy(NodeConfiguration next) {
+        router.tally().count("configurations taken");
+        router.reconfigure(next);
+        List<String> fixed = configuration.fixedChanges(next);
+        log.line("configuration taken, discovery at " + next.discovery().getHostString() + ":"
+                + next.discovery().getPort()
+                + (fixed.isEmpty() ? "" : "; only after a restart: " + String.join(", ", fixed)));
+    }
+
     private void printTally() {
         log.lines(router.tally().toString());
     }
--- a/src/main/java/embershift/protocol/NodeConfiguration.java
+++ b/src/main/java/embershift/protocol/NodeConfiguration.java
@@ -5,11 +5,13 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 
 /** All that the platform tells a node when it starts. */
 public record NodeConfiguration(String name, InetSocketAddress listen, InetSocketAddress discovery,
                                 int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
-                                InetSocketAddress peersAll, RosterPage known, Deployment deployment) {
+                                InetSocketAddress peersAll, RosterPage known, Object settings,
+                                Deployment deployment) {
 
     private static final int USUAL_SOCKETS = 1024;
 
@@ -26,10 +28,28 @@
                 Addresses.read(all.text("discovery")), sockets,
                 all.has("peer_listen") ? Addresses.read(all.text("peer_listen")) : null, List.copyOf(peers),
                 all.has("peers_all") ? Addresses.read(all.text("peers_all")) : null,
-                all.has("known") ? RosterPage.of(all.value("known")) : null,
+                all.has("known") ? RosterPage.of(all.value("known")) : null, all.value("settings"),
                 DeploymentReader.ofJson(all.value("settings")).read(seed(all.text("seed"))));
     }
 
+    /** What differs in a later configuration and can't change before a restart; seeds do with each reading. */
+    public List<String> fixedChanges(NodeConfiguration later) {
+        List<String> changes = new ArrayList<>();
+        if (!name.equals(later.name)) {
+            changes.add("name");
+        }
+        if (!listen.equals(later.listen)) {
+            changes.add("listen");
+        }
+        if (!Objects.equals(peerListen, later.peerListen)) {
+            changes.add("peer_listen");
+        }
+        if (!settings.equals(later.settings)) {
+            changes.add("settings");
+        }
+        return changes;
+    }
+
     private static long seed(String digits) throws Unreadable {
         try {
             return Long.parseUnsignedLong(digits, 16);
--- a/src/main/java/embershift/routing/Peers.java
+++ b/src/main/java/embershift/routing/Peers.java
@@ -15,20 +15,26 @@
     private static final int LONGEST = 256;
 
     private final Router router;
-    private final List<InetSocketAddress> addresses;
-    private final InetSocketAddress all;
+    private List<InetSocketAddress> addresses;
+    private InetSocketAddress all;
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private final Datagrams socket;
 
     Peers(Router router, NodeConfiguration configuration) throws IOException {
         this.router = router;
+        reachedBy(configuration);
+        socket = configuration.peerListen() == null ? null
+                : router.loop().datagrams(configuration.peerListen(), this::received);
+    }
+
+    /** Where the other nodes are, at the start and when that has changed. */
+    void reachedBy(NodeConfiguration configuration) {
         addresses = configuration.peers();
         all = configuration.peersAll();
+        numbers.clear();
         for (int i = 0; i < addresses.size(); i++) {
             numbers.put(addresses.get(i), i);
         }
-        socket = configuration.peerListen() == null ? null
-                : router.loop().datagrams(configuration.peerListen(), this::received);
     }
 
     InetSocketAddress address() {
--- a/src/main/java/embershift/routing/Roster.java
+++ b/src/main/java/embershift/routing/Roster.java
@@ -28,8 +28,8 @@
     private static final double MOST_AGAIN = 4;
 
     private final Router router;
-    private final InetSocketAddress address;
-    private final String hostLine;
+    private InetSocketAddress address;
+    private String hostLine;
     private Link link;
     private HttpReply reply;
     private Loop.Timer timer;
@@ -45,8 +45,31 @@
 
     Roster(Router router, InetSocketAddress address) {
         this.router = router;
-        this.address = address;
-        this.hostLine = "Host: " + address.getAddress().getHostAddress() + ":" + address.getPort();
+        at(address);
+    }
+
+    private void at(InetSocketAddress where) {
+        address = where;
+        hostLine = "Host: " + where.getAddress().getHostAddress() + ":" + where.getPort();
+    }
+
+    /**
+     * Discovery is elsewhere from now on: what is still out at the old address is given up, as nothing more
+     * is told there, and the watch goes on here at once. Versions are those of the old one, so the whole
+     * list is asked for.
+     */
+    void moveTo(InetSocketAddress where) {
+        if (where.equals(address)) {
+            return;
+        }
+        at(where);
+        hangUp();
+        if (calling) {
+            calling = false;
+            timer.cancel();
+        }
+        generation = -1;
+        watch(true);
     }
 
     void known(long generation) {
--- a/src/main/java/embershift/routing/Router.java
+++ b/src/main/java/embershift/routing/Router.java
@@ -106,6 +106,13 @@
         return loop.listen(address, strangers::mayAccept, this::accepted);
     }
 
+    /** Goes by a new configuration, as far as that can change while tunnels stand. */
+    public void reconfigure(NodeConfiguration next) {
+        roster.moveTo(next.discovery());
+        peers.reachedBy(next);
+        strangers.limit(next.sockets());
+    }
+
     /** The node is to stop: the module moves what is here. */
     public void leave() {
         leaving = true;
--- a/src/main/java/embershift/routing/Strangers.java
+++ b/src/main/java/embershift/routing/Strangers.java
@@ -18,7 +18,7 @@
 
     private final Loop loop;
     private final Tally tally;
-    private final int sockets;
+    private int sockets;
     private final Ageing<Passage> waiting = new Ageing<>(FIRST_LINE);
 
     Strangers(Loop loop, Tally tally, int sockets) {
@@ -27,6 +27,11 @@
         this.sockets = sockets;
     }
 
+    /** A new limit on descriptors. */
+    void limit(int most) {
+        sockets = most;
+    }
+
     void begin(Passage passage) {
         waiting.begin(passage, loop.now());
     }
--- a/src/main/java/embershift/routing/Tally.java
+++ b/src/main/java/embershift/routing/Tally.java
@@ -8,7 +8,7 @@
 
     private final Map<String, long[]> counts = new TreeMap<>();
 
-    void count(String name) {
+    public void count(String name) {
         add(name, 1);
     }
 
--- a/src/test/java/embershift/program/ServeTest.java
+++ b/src/test/java/embershift/program/ServeTest.java
@@ -40,9 +40,9 @@
         return server;
     }
 
-    private static String configuration(int host) {
+    private static String configuration(int host, int discovery) {
         return """
-            {"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1",
+            {"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"1",
              "known":{"generation":1,"reset":true,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:%d",
                "zone":"a","lifecycle":"in_service","weight":1,"startedAtMs":0}]},
              "settings":{"balancers":1,"az":"a","discovery":"subscribe",
@@ -50,14 +50,14 @@
               "limits":{"may-probe":false,"may-cancel":true,"may-duplicate":false,"most-setups":3,
                         "retry-after":true},
               "rules":{"must-ask-in-s":9,"drain-grace-s":1,"cold-from":0.3,"warm-after-s":8,
-                       "fall-multiple":4,"fall-s":1.5}}}""".formatted(host);
+                       "fall-multiple":4,"fall-s":1.5}}}""".formatted(discovery, host);
     }
 
     @Test
     public void nodeServesAndAtSigtermMovesWhatStandsAndExits() throws Exception {
         Path file = Files.createTempFile("embershift", ".json");
         try (ServerSocket host = listening()) {
-            Files.writeString(file, configuration(host.getLocalPort()));
+            Files.writeString(file, configuration(host.getLocalPort(), 9));
             Process node = program("serve", "--configuration", file.toString());
             BufferedReader log = reader(node.getInputStream());
             assertTrue(log.readLine().endsWith("n serving"));
@@ -84,6 +84,44 @@
         }
     }
 
+    @Test
+    public void configurationIsReadAgainAtSighupAndOneThatIsWrongChangesNothing() throws Exception {
+        Path file = Files.createTempFile("embershift", ".json");
+        Process node = null;
+        try (ServerSocket old = listening(); ServerSocket discovery = listening()) {
+            Files.writeString(file, configuration(9, old.getLocalPort()));
+            node = program("serve", "--configuration", file.toString());
+            BufferedReader log = reader(node.getInputStream());
+            log.readLine();
+            log.readLine();
+            String sound = configuration(9, discovery.getLocalPort()).replace("fall-s\":1.5", "fall-s\":2");
+            for (String text : List.of(sound.substring(0, sound.length() - 9), "", sound)) {
+                Files.writeString(file, text);
+                signal("HUP", node);
+                boolean taken = text.equals(sound);
+                String line = log.readLine();
+                assertTrue(line.contains(taken ? "configuration taken" : "stays in force: "), line);
+                assertEquals(line.endsWith("only after a restart: settings"), taken, line);
+            }
+            assertTrue(reader(discovery.accept().getInputStream()).readLine().startsWith("GET /api/targets"));
+            signal("USR1", node);
+            List<String> counters = new ArrayList<>();
+            while (!counters.contains("configurations taken 1")) {
+                counters.add(log.readLine());
+            }
+            assertTrue(counters.contains("configurations refused 2"));
+        } finally {
+            if (node != null) {
+                node.destroyForcibly();
+            }
+            Files.delete(file);
+        }
+    }
+
+    private static void signal(String name, Process to) throws IOException, InterruptedException {
+        assertEquals(new ProcessBuilder("kill", "-" + name, String.valueOf(to.pid())).start().waitFor(), 0);
+    }
+
     @Test
     public void whatIsWrongIsToldInOneLineWithStatusTwo() throws Exception {
         for (String[] args : new String[][] {{}, {"nonsense"}, {"serve", "--nonsense"}, {"serve"},
--- a/src/test/java/embershift/routing/RouterTest.java
+++ b/src/test/java/embershift/routing/RouterTest.java
@@ -65,9 +65,17 @@
 
     /** Starts the router with these hosts known. */
     private void start(String sockets, ServerSocket... hosts) throws Exception {
+        NodeConfiguration configuration = configuration(sockets, hosts);
+        address = on(() -> {
+            router = new Router(loop, configuration, line -> { });
+            return router.listen(configuration.listen());
+        });
+    }
+
+    private NodeConfiguration configuration(String sockets, ServerSocket... hosts) throws Exception {
         String known = Arrays.stream(hosts).map(host -> entry(host, "in_service"))
                 .collect(Collectors.joining(","));
-        NodeConfiguration configuration = NodeConfiguration.read("""
+        return NodeConfiguration.read("""
             {"listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"1","limits":{"sockets":%s},
              "peer_listen":"127.0.0.1:0","peers":["127.0.0.1:9"],
              "known":{"generation":1,"reset":true,"instances":[%s]},
@@ -79,10 +87,6 @@
               "rules":{"must-ask-in-s":2,"drain-grace-s":1,"cold-from":0.3,"warm-after-s":8,
                        "fall-multiple":4,"fall-s":1.5}}}""".formatted(discovery.getLocalPort(), sockets, known,
                 rosterOnRequest ? "subscribe" : "automatic"));
-        address = on(() -> {
-            router = new Router(loop, configuration, line -> { });
-            return router.listen(configuration.listen());
-        });
     }
 
     private interface Step<T> {
@@ -459,6 +463,43 @@
         }
     }
 
+    @Test
+    public void watchGoesOnAtOnceWhereDiscoveryHasMoved() throws Exception {
+        ServerSocket host = listening();
+        start("1024", host);
+        Socket[] ends = opened(host);
+        Socket watch = accept(discovery);
+        hear(watch);
+        ServerSocket before = discovery;
+        discovery = listening();
+        reconfigure();
+        Socket next = accept(discovery);
+        // Versions are the old one's own, so the whole list is asked for.
+        assertEquals(hear(next), "GET /api/targets HTTP/1.1");
+        while (hear(watch) != null) {
+            // The rest of the call that is given up.
+        }
+        page(next, "{\"generation\":1,\"reset\":true,\"instances\":[" + entry(host, "terminating") + "]}");
+        assertEquals(hear(ends[0]), "MOVE");
+        // Moved there and back while the first call is not even answered.
+        ServerSocket third = discovery;
+        discovery = before;
+        reconfigure();
+        assertEquals(hear(accept(before)), "GET /api/targets HTTP/1.1");
+        discovery = third;
+        reconfigure();
+        assertEquals(hear(accept(third)), "GET /api/targets HTTP/1.1");
+        assertFalse(on(() -> router.tally().toString()).contains("roster calls failed"));
+    }
+
+    private void reconfigure() throws Exception {
+        NodeConfiguration next = configuration("1024");
+        on(() -> {
+            router.reconfigure(next);
+            return null;
+        });
+    }
+
     @Test
     public void callThatFailsIsMadeAgain() throws Exception {
         start("1024");
