A node that starts spreads a rush over all hosts; one that leaves moves over all its time

Hosts' reports were right (0.00 to 0.02): the belief was at fault, in survey(), count() and expectedLoad(). Where reported load is zero a placement weighed nothing; hosts not heard from took the mean, which rose with the placements on the only one heard, so it never looked busier than they; a report forgot what was still out. The leaving node moved its tunnels within 2 s though it may stay for 3.5, and the other node was not back. Ruled out: hosts over capacity (0.4 to 0.6), discovery (no call failed), the node's own lateness (traces came in time).

Now hosts not heard from take the others' mean and add their own placements; setups that are out at a report stay added; a placement counts 1/256 where no load is known, and no more for eight periods in a node that was told of no standing tunnel; moves of a leaving node go evenly from 0.5 s to 3 s.

--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -70,6 +70,8 @@
     private static final double DRAIN = 1.5;
     /** Periods for which the front may still send to a node that leaves. */
     private static final double FRONT_LAG = 0.5;
+    /** Periods that a node which leaves is given at the most; less where clients wait for less. */
+    private static final double LONGEST_STAY = 3;
     /** Periods between two moves off a host. */
     private static final double MOVE_PAUSE = 2;
     /** A host is active while its load is no more than this multiple of the mean. */
@@ -95,6 +97,8 @@
     private final Seats seats = new Seats();
     private final Ring arrived = new Ring(8, PERIOD);
     private double startedAt;
+    /** Whether it was told of tunnels that stood before. */
+    private boolean stood;
     private final Ring placed = new Ring(8, PERIOD);
     /** The part of arriving tunnels that the fleet has room for. */
     private double admitted = 1;
@@ -105,6 +109,7 @@
     private double mean;
     private int active;
     private int heard;
+    private int counted;
     private boolean nearTake;
     /** Whether most hosts look bad: then it is the view that is bad. */
     private boolean doubtful;
@@ -113,16 +118,12 @@
     private final Ring completed = new Ring(8, 2 * PERIOD);
     private double warmHostCanTake;
 
-    /** Setups that ended, and of those the failed: what many hosts share is no host's fault. */
-    private final Ring ended = new Ring(4, PERIOD / 4);
     private final Deque<Tunnel> waiting = new ArrayDeque<>();
-    private int out;
-    /** Setups that may be out together; unlimited until setups fail at many hosts. */
-    private double window = Double.POSITIVE_INFINITY;
-    private double windowCutAt = Double.NEGATIVE_INFINITY;
+    private final Pace pace = new Pace(PERIOD);
 
     /** What a tunnel adds to a host's load figure in the mean: an empty host can't tell it by its own. */
     private double usualLoadOfOne;
+    private double usualLoad;
 
     private final Departures departures = new Departures();
     private boolean leaving;
@@ -274,6 +275,7 @@
             host = new Host(at);
             enrol(host);
         }
+        stood = true;
         Tunnel tunnel = new Tunnel(id, row, subject, group, Double.POSITIVE_INFINITY);
         tunnel.setups = 1;
         tunnel.open = true;
@@ -290,9 +292,8 @@
         Tunnel tunnel = table.get(id);
         if (tunnel != null && setup == tunnel.setups - 1 && tunnel.out) {
             tunnel.out = false;
-            out--;
             opened.add(now, took, 1);
-            pace(false);
+            pace.ended(now, false);
             tunnel.open = true;
             tunnel.host.failuresInRow = 0;
             if (leaving || tunnel.host.state == Listing.State.DRAINING) {
@@ -307,7 +308,7 @@
         if (tunnel != null) {
             leave(tunnel);
             if (tunnel.out) {
-                out--;
+                pace.givenUp();
                 if (deployment.mayCancel()) {
                     decisions.cancel(id, tunnel.setups - 1);
                 }
@@ -333,9 +334,10 @@
             leave(tunnel);
             if (tunnel.out) {
                 tunnel.out = false;
-                out--;
                 if (end == SetupEnd.ERROR || end == SetupEnd.TIMED_OUT) {
-                    pace(true);
+                    pace.ended(now, true);
+                } else {
+                    pace.givenUp();
                 }
             }
         }
@@ -361,11 +363,11 @@
         double left = tunnel.clientGivesUpAt - now;
         boolean worthSending = !leaving && tunnel.setups < deployment.mostSetups()
                 && left > LEAST_OF_GOAL * tunnel.profile.setupGoal() && mayRunAgain(tunnel);
-        if (worthSending && out >= window && mayWait(tunnel)) {
+        if (worthSending && pace.full() && mayWait(tunnel)) {
             waiting.add(tunnel);
             return;
         }
-        Host host = worthSending && out < window ? draw(tunnel) : null;
+        Host host = worthSending && !pace.full() ? draw(tunnel) : null;
         if (host == null) {
             giveUp(tunnel);
             if (worthSending) {
@@ -440,26 +442,11 @@
                 || now + tunnel.profile.setupGoal() / 2 < tunnel.clientGivesUpAt);
         late.forEach(this::giveUp);
         waiting.removeIf(tunnel -> !table.containsKey(tunnel.id));
-        while (out < window && !waiting.isEmpty()) {
+        while (!pace.full() && !waiting.isEmpty()) {
             place(waiting.remove());
         }
     }
 
-    /**
-     * Guards the session store, or whatever else all setups share: where they fail at many hosts,
-     * sending more makes more fail, so the setups out together are halved, and grow again by one for
-     * each such number opened.
-     */
-    private void pace(boolean failed) {
-        ended.add(now, failed ? 1 : 0, 1);
-        if (!failed) {
-            window += 1 / window;
-        } else if (now >= windowCutAt + PERIOD / 4 && ended.sum(now) > Math.max(3, ended.count(now) / 3.0)) {
-            windowCutAt = now;
-            window = Math.max(1, Math.min(window, out + 1) / 2);
-        }
-    }
-
     /** Rule 2: what may have run is not sent again unless that is harmless. */
     private boolean mayRunAgain(Tunnel tunnel) {
         return switch (tunnel.profile.repeat()) {
@@ -502,12 +489,10 @@
         }
         tunnel.setups++;
         tunnel.out = true;
-        out++;
+        pace.sent();
         tunnel.host = host;
         host.admit(tunnel);
-        if (host.heard() && heard > 0) {
-            mean += host.loadOfOne() / heard;
-        }
+        mean += host.loadOfOne() / counted;
         host.placedSinceReport++;
         placed.add(now, 0, 1);
         host.coldCredit -= 1;
@@ -637,20 +622,30 @@
         }
         noneAnswers = reachable == 0;
         doubtful = 2 * healthy.size() < reachable;
-        healthy.removeIf(host -> !host.heard() || host.cold() || host.noted);
-        heard = healthy.size();
+        healthy.removeIf(host -> host.cold() || host.noted);
+        counted = Math.max(1, healthy.size());
+        heard = 0;
         for (Host host : healthy) {
-            loads += host.load;
-            tunnels += host.tunnelsThere();
+            if (host.heard()) {
+                heard++;
+                loads += host.load;
+                tunnels += host.tunnelsThere();
+            }
         }
+        usualLoad = loads / Math.max(1, heard);
         usualLoadOfOne = tunnels < 1 ? 0 : loads / tunnels;
+        if (young() || loads <= 0) {
+            // Guards the nearest host: placements that weigh nothing would all go there, hundreds at once
+            // where a node that has just started takes in the clients of one that leaves.
+            usualLoadOfOne = tunnels < 1 || loads <= 0 ? 1 / SPAN : Math.min(usualLoadOfOne, 1 / SPAN);
+        }
         double sum = 0;
         double sumOfRoom = 0;
         for (Host host : healthy) {
             sum += host.expectedLoad();
-            sumOfRoom += Math.max(0, BRIMFUL - host.expectedLoad());
+            sumOfRoom += host.heard() ? Math.max(0, BRIMFUL - host.expectedLoad()) : 0;
         }
-        mean = heard == 0 ? 0 : sum / heard;
+        mean = sum / counted;
         if (heard < Math.min(active, FEW)) {
             // A few hosts don't tell that the fleet is busy: tunnels would be declined unasked.
             mean = Math.min(mean, ROOMY);
@@ -665,10 +660,14 @@
         warmHostCanTake = completed.rate(now) / Math.max(1, warm) / load;
     }
 
-    /** The design's count_i: hosts not heard from, and warming ones that report less, take the mean. */
+    /** Whether the node has started among others: its own tunnels are no measure of all that there are. */
+    private boolean young() {
+        return !stood && now < startedAt + 2 * KEPT * PERIOD;
+    }
+
+    /** The design's count_i; warming hosts that report less take the mean. */
     private double count(Host host) {
-        double load = host.heard() ? host.expectedLoad() : mean;
-        return host.cold() && load < mean ? mean : load;
+        return host.cold() ? Math.max(mean, host.expectedLoad()) : host.expectedLoad();
     }
 
     /** Who counts as active for this tunnel: hosts no busier than the mean, and near if there are any. */
@@ -753,7 +752,8 @@
                 host.load = load;
                 host.openThere = openTunnels >= 0 ? openTunnels : Double.NaN;
                 host.reportedAt = now;
-                host.placedSinceReport = 0;
+                // A setup that is still out is in no report: a rush of them would look like idle hosts.
+                host.placedSinceReport = (int) host.own.values().stream().filter(tun -> tun.out).count();
                 moveOffSinking(host);
             }
         }
@@ -835,12 +835,13 @@
         }
     }
 
-    /** Moved at once, clients would come back while the front still sends here: they go later, in turn. */
+    /** Moved at once, clients would come back here or come as a wave: they go in turn, over all the time. */
     @Override
     public void nodeLeaving() {
         leaving = true;
         double longest = profiles.values().stream().mapToDouble(Profile::clientTimeout).max().orElse(0);
-        departures.addAll(table.values(), now + FRONT_LAG * PERIOD, Math.min(DRAIN * PERIOD, longest / 2));
+        departures.addAll(table.values(), now + FRONT_LAG * PERIOD,
+                Math.min(LONGEST_STAY * PERIOD, longest) - FRONT_LAG * PERIOD);
     }
 
     private void moveDeparting() {
@@ -948,9 +949,9 @@
             return coldCredit >= 1;
         }
 
-        /** The latest figure, with what this node has placed since; NaN for a host not heard from. */
+        /** The latest figure, else the mean of the others', with what this node has placed since. */
         double expectedLoad() {
-            return load + placedSinceReport * loadOfOne();
+            return (heard() ? load : usualLoad) + placedSinceReport * loadOfOne();
         }
 
         /**
@@ -958,7 +959,7 @@
          * meanwhile: a node that has few tunnels there can't tell either by them.
          */
         double loadOfOne() {
-            boolean few = Double.isNaN(openThere) ? own.size() < 4 : openThere < 1;
+            boolean few = young() || !heard() || (Double.isNaN(openThere) ? own.size() < 4 : openThere < 1);
             return (few || load < IDLE / 2 ? usualLoadOfOne : load / tunnelsThere())
                     * Math.min(deployment.nodes(), OTHERS);
         }
