--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -110,6 +110,7 @@
     private int active;
     private int heard;
     private int counted;
+    private boolean fewHeard;
     private boolean nearTake;
     /** Whether most hosts look bad: then it is the view that is bad. */
     private boolean doubtful;
@@ -414,6 +415,7 @@
             } else if (table.containsKey(tunnel.id)) {
                 if (tunnel.asked.probing) {
                     tunnel.tried.add(tunnel.asked);
+                    tunnel.asks = fewHeard ? ASKS : tunnel.asks;
                 }
                 place(tunnel);
             }
@@ -542,7 +544,8 @@
             double most = tunnel.group != null && mean > BUSY ? IDLE : BRIMFUL;
             eligible.removeIf(host -> count(host) > most);
         }
-        if (!mayAsk(tunnel) && eligible.stream().anyMatch(Host::fresh)) {
+        // The few that a node knows just after its start would take all that comes in a rush.
+        if (!mayAsk(tunnel) && !fewHeard && eligible.stream().anyMatch(Host::fresh)) {
             eligible.removeIf(host -> !host.fresh());
         }
         return eligible.isEmpty() ? null : drawn(narrowed(eligible), chance.next() * SPAN);
@@ -633,12 +636,9 @@
             }
         }
         usualLoad = loads / Math.max(1, heard);
-        usualLoadOfOne = tunnels < 1 ? 0 : loads / tunnels;
-        if (young() || loads <= 0) {
-            // Guards the nearest host: placements that weigh nothing would all go there, hundreds at once
-            // where a node that has just started takes in the clients of one that leaves.
-            usualLoadOfOne = tunnels < 1 || loads <= 0 ? 1 / SPAN : Math.min(usualLoadOfOne, 1 / SPAN);
-        }
+        // Guards the nearest host: placements that weigh nothing would all go there, hundreds at once where a
+        // node that has just started takes in the clients of one that leaves.
+        usualLoadOfOne = young() || tunnels < 1 || loads <= 0 ? 1 / SPAN : loads / tunnels;
         double sum = 0;
         double sumOfRoom = 0;
         for (Host host : healthy) {
@@ -646,7 +646,8 @@
             sumOfRoom += host.heard() ? Math.max(0, BRIMFUL - host.expectedLoad()) : 0;
         }
         mean = sum / counted;
-        if (heard < Math.min(active, FEW)) {
+        fewHeard = heard < Math.min(active, FEW);
+        if (fewHeard) {
             // A few hosts don't tell that the fleet is busy: tunnels would be declined unasked.
             mean = Math.min(mean, ROOMY);
         }
@@ -656,7 +657,7 @@
         // hosts would sink, shed and be filled again. So each keeps to its share of the room.
         double room = ROOM_PROMISED * sumOfRoom / Math.max(1, heard) * active / deployment.nodes();
         double inflow = arrived.rate(now) * PERIOD * usualLoadOfOne;
-        admitted = !known || heard < Math.min(active, FEW) || room >= inflow ? 1 : room / inflow;
+        admitted = !known || fewHeard || room >= inflow ? 1 : room / inflow;
         warmHostCanTake = completed.rate(now) / Math.max(1, warm) / load;
     }
 
@@ -780,10 +781,6 @@
         }
     }
 
-    @Override
-    public void tunnelLoadNoted(TunnelId id, double load) {
-        // The host's own figure holds it already.
-    }
 
     @Override
     public void messageDelayNoted(HostId at, double delay) {
@@ -959,13 +956,15 @@
          * meanwhile: a node that has few tunnels there can't tell either by them.
          */
         double loadOfOne() {
-            boolean few = young() || !heard() || (Double.isNaN(openThere) ? own.size() < 4 : openThere < 1);
+            int least = Double.isNaN(openThere) ? FEW * deployment.nodes() : 1;
+            boolean few = young() || !heard() || tunnelsThere() < least;
             return (few || load < IDLE / 2 ? usualLoadOfOne : load / tunnelsThere())
                     * Math.min(deployment.nodes(), OTHERS);
         }
 
         double tunnelsThere() {
-            return Double.isNaN(openThere) ? own.size() * deployment.nodes() : openThere;
+            return Double.isNaN(openThere) ? Math.max(0, own.size() - placedSinceReport) * deployment.nodes()
+                    : openThere;
         }
 
         void admit(Tunnel tunnel) {
--- a/src/main/java/embershift/model/News.java
+++ b/src/main/java/embershift/model/News.java
@@ -38,8 +38,9 @@
     /** {@code over}: the tunnel has had its final answer, with this end or before. */
     void setupEnded(TunnelId id, int setup, HostId host, SetupEnd end, double took, boolean over);
 
-    /** A standing tunnel's load now, in seconds of work a second. */
-    void tunnelLoadNoted(TunnelId id, double load);
+    /** A standing tunnel's load now, in seconds of work a second; its host's own figure holds it already. */
+    default void tunnelLoadNoted(TunnelId id, double load) {
+    }
 
     /** How long a message takes at this host now. */
     void messageDelayNoted(HostId host, double delay);
--- a/src/main/java/embershift/program/Main.java
+++ b/src/main/java/embershift/program/Main.java
@@ -53,6 +53,20 @@
         }
     }
 
+    @Parameters(commandDescription = "Play a node with a host and a client, all in this process, and say how it went")
+    private static final class Rehearse implements Command {
+        @Override
+        public int run() throws IOException, Unreadable {
+            try {
+                new Rehearsal().play(new Log(System.err));
+                System.out.println("rehearsed: a node can live here");
+                return 0;
+            } catch (IOException e) {
+                throw new Unreadable(e.getMessage());
+            }
+        }
+    }
+
     @Parameters(commandDescription = "Speak the bench's wire on standard input and output")
     private static final class Bench implements Command {
         @Override
@@ -102,7 +116,8 @@
 
     public static void main(String[] args) throws IOException {
         Map<String, Command> commands = Map.of("serve", new Serve(), "adapter", new Bench(),
-                "version", new Version(), "check", new Check());
+                "version", new Version(), "check", new Check(),
+                "rehearse", new Rehearse());
         Help help = new Help();
         JCommander line = new JCommander(help);
         line.setProgramName("java -jar embershift.jar");
@@ -114,7 +129,7 @@
                 return;
             }
             if (line.getParsedCommand() == null) {
-                throw new ParameterException("a sub-command is wanted: adapter, check, serve or version");
+                throw new ParameterException("a sub-command is wanted: adapter, check, rehearse, serve or version");
             }
             int status = commands.get(line.getParsedCommand()).run();
             if (status >= 0) {
--- /dev/null
+++ b/src/main/java/embershift/program/Rehearsal.java
@@ -0,0 +1,145 @@
+package embershift.program;
+
+import embershift.protocol.NodeConfiguration;
+import embershift.protocol.Unreadable;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A node, a host, a discovery and a client in one process: a tunnel is opened, used and moved. It shows that
+ * a node can live on this machine, and a build records by it the classes that nodes need from their start.
+ */
+final class Rehearsal {
+
+    private static final int PATIENCE_MS = 5000;
+    private static final int TUNNELS = 3;
+
+    /** One side of a talk in lines. */
+    private interface Part {
+        void with(Socket socket, BufferedReader in) throws IOException;
+    }
+
+    private final ServerSocket host = listening();
+    private final ServerSocket discovery = listening();
+
+    Rehearsal() throws IOException {
+    }
+
+    private static ServerSocket listening() throws IOException {
+        return new ServerSocket(0, TUNNELS, InetAddress.getLoopbackAddress());
+    }
+
+    /** Plays it all; fails where a client does not hear what it should. The node is left to its end. */
+    void play(Log log) throws IOException, Unreadable {
+        serve(host, this::beHost);
+        serve(discovery, this::beDiscovery);
+        InetSocketAddress node = new Service(() -> NodeConfiguration.read(configuration()), log).start();
+        for (int i = 0; i < TUNNELS; i++) {
+            try (Socket client = new Socket(node.getAddress(), node.getPort())) {
+                client.setSoTimeout(PATIENCE_MS);
+                BufferedReader in = reader(client);
+                say(client, "PING\r\n");
+                expect(in, "PONG");
+                say(client, "OPEN " + i + " key c=any,d=3000,g=" + i + "\r\n");
+                expect(in, "UP rehearsed");
+                say(client, "line\r\n");
+                expect(in, i == 0 ? "MOVE" : "line");
+            }
+        }
+    }
+
+    private static void expect(BufferedReader in, String line) throws IOException {
+        String heard = in.readLine();
+        if (!line.equals(heard)) {
+            throw new IOException("the rehearsal heard '" + heard + "' where '" + line + "' was due");
+        }
+    }
+
+    private static void serve(ServerSocket server, Part part) {
+        daemon(() -> {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    daemon(() -> {
+                        try (socket; BufferedReader in = reader(socket)) {
+                            part.with(socket, in);
+                        } catch (IOException e) {
+                            // The node has ended this connection, as it does with all at its end.
+                        }
+                    });
+                }
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    private static void daemon(Runnable task) {
+        Thread thread = new Thread(task, "rehearsal");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static BufferedReader reader(Socket socket) throws IOException {
+        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+    }
+
+    private static void say(Socket socket, String words) throws IOException {
+        socket.getOutputStream().write(words.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Answers questions, opens tunnels and echoes their lines; the first tunnel is moved instead. */
+    private void beHost(Socket socket, BufferedReader in) throws IOException {
+        boolean first = false;
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            if (line.equals("STATS")) {
+                say(socket, "PONG queue=0,qps=1.0,x0=0.1\r\n");
+            } else if (line.startsWith("OPEN ")) {
+                first = line.startsWith("OPEN 0 ");
+                say(socket, "UP rehearsed\r\n");
+            } else if (first) {
+                say(socket, "MOVE\r\n");
+                return;
+            } else {
+                say(socket, line + "\r\n");
+            }
+        }
+    }
+
+    private void beDiscovery(Socket socket, BufferedReader in) throws IOException {
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            if (line.isEmpty()) {
+                String list = list();
+                say(socket, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+                        + list.length() + "\r\n\r\n" + list);
+            }
+        }
+    }
+
+    private String list() {
+        return "{\"generation\":1,\"reset\":true,\"instances\":[{\"instanceId\":\"s\",\"hostPort\":\"127.0.0.1:"
+                + host.getLocalPort() + "\",\"zone\":\"a\",\"machineType\":\"m\",\"cell\":0,"
+                + "\"lifecycle\":\"in_service\",\"weight\":1.0,\"startedAtMs\":0}]}";
+    }
+
+    private String configuration() {
+        return """
+            {"name":"rehearsal","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"1",
+             "limits":{"sockets":1024},"peer_listen":"127.0.0.1:0","peers":[],"known":%s,
+             "settings":{"balancers":1,"az":"a","discovery":"subscribe",
+              "profiles":[{"name":"any","repeat":"idempotent","setup-goal-s":0.8,"client-timeout-s":3,"credit":1}],
+              "report":{"columns":["queue","qps","x0"]},"domain":{"mode":"proxy"},
+              "limits":{"may-probe":true,"may-tell":true,"may-cancel":true,"may-duplicate":false,"most-setups":3,
+                        "retry-after":true,"max-retry-after-s":1.5,"connect-timeout-s":0.25},
+              "rules":{"answer-slack-s":0.016,"must-ask-in-s":2,"drain-grace-s":1,"cold-from":0.3,
+                       "warm-after-s":10,"fall-multiple":4,"fall-s":1.5}}}""".formatted(
+                discovery.getLocalPort(), list());
+    }
+}
--- a/src/main/java/embershift/program/Service.java
+++ b/src/main/java/embershift/program/Service.java
@@ -51,30 +51,32 @@
         configuration = source.read();
     }
 
-    /** Listens, and returns; the node then lives on its loop. Fails where it can't listen. */
-    void start() throws IOException {
+    /** Listens, and returns where; the node then lives on its loop. Fails where it can't listen. */
+    InetSocketAddress start() throws IOException {
         loop = new Loop();
-        CompletableFuture<Void> serving = new CompletableFuture<>();
+        CompletableFuture<InetSocketAddress> serving = new CompletableFuture<>();
         loop.execute(() -> serve(serving));
         // Before the node can be seen to be ready: unhandled, both signals would end the program.
         Signal.handle(new Signal("HUP"), signal -> reload());
         Signal.handle(new Signal("USR1"), signal -> loop.execute(this::printTally));
+        InetSocketAddress address;
         try {
-            serving.join();
+            address = serving.join();
         } catch (CompletionException e) {
             loop.stop();
             throw new IOException(e.getCause().getMessage(), e.getCause());
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::leaveAndWait, "leave"));
+        return address;
     }
 
-    private void serve(CompletableFuture<Void> serving) {
+    private void serve(CompletableFuture<InetSocketAddress> serving) {
         try {
             router = new Router(loop, configuration, log::line);
             InetSocketAddress address = router.listen(configuration.listen());
             enter(Phase.SERVING);
             log.line("listening on " + address.getHostString() + ":" + address.getPort());
-            serving.complete(null);
+            serving.complete(address);
         } catch (IOException | RuntimeException e) {
             serving.completeExceptionally(e);
         }
--- a/src/test/java/embershift/PolicyTest.java
+++ b/src/test/java/embershift/PolicyTest.java
@@ -482,6 +482,13 @@
         Node node = new Node(4).loads(0.01);
         node.arrive(0, 200, null);
         assertTrue(node.sentTo(0) > 0 && node.sentTo(0) < 100, "h0 was given " + node.sentTo(0));
+        // The host that the rest asked is late with its answer: none of them waits for another, nor do all
+        // go to the only host that is known.
+        long sent = node.count("set up");
+        node.now += 0.13;
+        node.round(news -> { });
+        assertEquals(sent + node.count("set up"), 200);
+        assertTrue(node.sentTo(0) < 100, "h0 was given " + node.sentTo(0));
     }
 
     @Test
--- a/src/test/java/embershift/program/ServeTest.java
+++ b/src/test/java/embershift/program/ServeTest.java
@@ -118,6 +118,14 @@
         }
     }
 
+    @Test
+    public void rehearsalOpensAndMovesTunnelsAndEnds() throws Exception {
+        Process process = program("rehearse");
+        List<String> lines = reader(process.getInputStream()).lines().toList();
+        assertEquals(process.waitFor(), 0, lines.toString());
+        assertTrue(lines.containsAll(List.of("rehearsed: a node can live here", "tunnels opened 3")), lines.toString());
+    }
+
     private static void signal(String name, Process to) throws IOException, InterruptedException {
         assertEquals(new ProcessBuilder("kill", "-" + name, String.valueOf(to.pid())).start().waitFor(), 0);
     }
