A node that leaves keeps its tunnels until another node answers that it is here

The nodes' logs side by side show it; hosts, discovery and the started node's draw were ruled out.

nodeLeaving() now begins a Farewell: the others are asked four times a second whether one is here, moves begin with the first answer (never before the front has stopped sending), or at three quarters of the stay, and still end with it. A node that leaves itself does not answer. Where nodes may not tell each other anything, moves begin as before.

--- a/src/main/java/embershift/Departures.java
+++ b/src/main/java/embershift/Departures.java
@@ -18,6 +18,11 @@
         until = from + over;
     }
 
+    /** Lets the turns begin sooner, and go evenly until the same end. */
+    void bringForward(double from) {
+        next = Math.min(next, from);
+    }
+
     void add(Tunnel tunnel) {
         waiting.add(tunnel);
     }
--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -68,10 +68,6 @@
     private static final double ROOM_PROMISED = 2;
     /** Periods over which the tunnels of a draining host are moved. */
     private static final double DRAIN = 1.5;
-    /** Periods for which the front may still send to a node that leaves. */
-    private static final double FRONT_LAG = 0.5;
-    /** Periods that a node which leaves is given at the most; less where clients wait for less. */
-    private static final double LONGEST_STAY = 3;
     /** Periods between two moves off a host. */
     private static final double MOVE_PAUSE = 2;
     /** A host is active while its load is no more than this multiple of the mean. */
@@ -127,7 +123,7 @@
     private double usualLoad;
 
     private final Departures departures = new Departures();
-    private boolean leaving;
+    private final Farewell farewell = new Farewell(departures, PERIOD);
 
     private double now = Double.NEGATIVE_INFINITY;
     private Decisions decisions;
@@ -283,7 +279,7 @@
         tunnel.host = host;
         host.admit(tunnel);
         table.put(id, tunnel);
-        if (leaving || host.state == Listing.State.DRAINING) {
+        if (farewell.begun() || host.state == Listing.State.DRAINING) {
             departures.add(tunnel);
         }
     }
@@ -297,7 +293,7 @@
             pace.ended(now, false);
             tunnel.open = true;
             tunnel.host.failuresInRow = 0;
-            if (leaving || tunnel.host.state == Listing.State.DRAINING) {
+            if (farewell.begun() || tunnel.host.state == Listing.State.DRAINING) {
                 departures.add(tunnel);
             }
         }
@@ -362,7 +358,7 @@
     /** Sends the tunnel's next setup, or gives its final answer at once where none can or may be sent. */
     private void place(Tunnel tunnel) {
         double left = tunnel.clientGivesUpAt - now;
-        boolean worthSending = !leaving && tunnel.setups < deployment.mostSetups()
+        boolean worthSending = !farewell.begun() && tunnel.setups < deployment.mostSetups()
                 && left > LEAST_OF_GOAL * tunnel.profile.setupGoal() && mayRunAgain(tunnel);
         if (worthSending && pace.full() && mayWait(tunnel)) {
             waiting.add(tunnel);
@@ -799,7 +795,9 @@
 
     @Override
     public void nodeHeard(int node, byte[] content) {
-        askSinking(hosts.get(new HostId(new String(content, StandardCharsets.UTF_8))), true);
+        if (!farewell.heard(node, content, now, decisions)) {
+            askSinking(hosts.get(new HostId(new String(content, StandardCharsets.UTF_8))), true);
+        }
     }
 
     // ---- Moves ----
@@ -835,13 +833,12 @@
     /** Moved at once, clients would come back here or come as a wave: they go in turn, over all the time. */
     @Override
     public void nodeLeaving() {
-        leaving = true;
         double longest = profiles.values().stream().mapToDouble(Profile::clientTimeout).max().orElse(0);
-        departures.addAll(table.values(), now + FRONT_LAG * PERIOD,
-                Math.min(LONGEST_STAY * PERIOD, longest) - FRONT_LAG * PERIOD);
+        farewell.begin(table.values(), now, longest, deployment.mayTellNodes());
     }
 
     private void moveDeparting() {
+        farewell.ask(now, decisions);
         for (Tunnel tunnel = departures.due(now); tunnel != null; tunnel = departures.due(now)) {
             tunnel.moving = true;
             decisions.move(tunnel.id);
@@ -852,6 +849,7 @@
 
     private void wake(double nextProbe) {
         double next = Math.min(Math.min(rosterCallAt, nextProbe), departures.next());
+        next = Math.min(next, farewell.nextQuestion());
         if (!waiting.isEmpty()) {
             next = Math.min(next, now + PERIOD / 10);
         }
--- a/src/test/java/embershift/PolicyTest.java
+++ b/src/test/java/embershift/PolicyTest.java
@@ -472,11 +472,29 @@
         node.round(News::nodeLeaving);
         assertEquals(node.count("move"), 0);
         assertEquals(node.arrive(100, 1, null).get(0), "decline t100 with advice");
-        assertEquals(node.later(0.49), 0);
+        assertEquals(node.later(0.3), 0);
+        node.round(news -> news.nodeHeard(0, new byte[] {2}));
+        assertEquals(node.later(0.19), 0);
         assertEquals(node.later(1.26), 15, 1);
         assertEquals(node.later(1.25), 15, 1);
     }
 
+    @Test
+    public void nodeThatLeavesKeepsItsTunnelsWhileNoOtherIsHere() {
+        Node node = new Node(2).loads(0.1, 0.1);
+        node.stand(0, 30, 0);
+        assertEquals(node.round(News::nodeLeaving).get(0), "tell all");
+        node.round(news -> news.nodeHeard(0, new byte[] {1}));
+        assertEquals(node.count("tell 0"), 0, "it is about to go itself");
+        assertEquals(node.later(1), 0);
+        node.now += 0.25;
+        node.round(news -> { });
+        assertEquals(node.count("tell all"), 1, "its question may have been lost");
+        assertEquals(node.later(0.98), 0);
+        assertEquals(node.later(0.78), 30);
+        assertTrue(new Node(2).round(news -> news.nodeHeard(3, new byte[] {1})).contains("tell 3"));
+    }
+
     @Test
     public void nodeThatHasJustStartedDoesNotFillTheFirstHostThatItHearsFrom() {
         Node node = new Node(4).loads(0.01);
