--- a/src/main/java/embershift/protocol/Opening.java
+++ b/src/main/java/embershift/protocol/Opening.java
@@ -9,11 +9,14 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Pattern;
 
 /** The line with which a client begins: the bytes as they came, and of its fields what decisions need. */
 public final class Opening {
 
     private static final String WORD = "OPEN ";
+    /** Above nought, and under twelve days. */
+    private static final Pattern MILLISECONDS = Pattern.compile("0{0,9}[1-9]\\d{0,8}(\\.\\d{0,9})?");
 
     private final byte[] line;
     private int digitsFrom = -1;
@@ -71,14 +74,12 @@
         switch (name) {
             case "c" -> profile = new ProfileId(value);
             case "d" -> {
-                try {
-                    clientTimeout = Double.parseDouble(value) / 1e3;
-                } catch (NumberFormatException e) {
-                    clientTimeout = Double.NaN;
-                }
-                if (!(clientTimeout > 0 && clientTimeout < Double.POSITIVE_INFINITY)) {
-                    throw new Unreadable("d is no number of milliseconds above 0");
+                // Guards timers and what goes on to hosts: Java would read 1e300, 0x1p9 or 5f as well. A second
+                // one would stay as it came.
+                if (digitsFrom >= 0 || !MILLISECONDS.matcher(value).matches()) {
+                    throw new Unreadable("d is no number of milliseconds above 0, or comes twice");
                 }
+                clientTimeout = Double.parseDouble(value) / 1e3;
                 digitsFrom = from;
                 digitsTo = to;
             }
--- a/src/test/java/embershift/protocol/ProtocolTest.java
+++ b/src/test/java/embershift/protocol/ProtocolTest.java
@@ -91,7 +91,9 @@
     public Object[][] badOpenings() {
         return new Object[][] {{"OPEN "}, {"OPEN i"}, {"OPEN i k"}, {"OPEN  k c=a,d=1"}, {"OPEN i k c=a"},
             {"OPEN i k d=5"}, {"OPEN i k c=a,d="}, {"OPEN i k c=a,d=x"}, {"OPEN i k c=a,d=NaN"},
-            {"OPEN i k c=a,d=-4"}, {"OPEN i k c=a,d=0"}, {"OPEN i k ,=,c,d"}};
+            {"OPEN i k c=a,d=-4"}, {"OPEN i k c=a,d=0"}, {"OPEN i k ,=,c,d"}, {"OPEN i k c=a,d=1e300"},
+            {"OPEN i k c=a,d=99999999999"}, {"OPEN i k c=a,d=0x1p9"}, {"OPEN i k c=a,d=5f"}, {"OPEN i k c=a,d= 5"},
+            {"OPEN i k c=a,d=+5"}, {"OPEN i k c=a,d=5,d=6"}};
     }
 
     @Test(dataProvider = "badOpenings", expectedExceptions = Unreadable.class)
--- a/src/test/java/embershift/routing/RouterTest.java
+++ b/src/test/java/embershift/routing/RouterTest.java
@@ -201,6 +201,38 @@
         }
     }
 
+    @Test
+    public void idOfAnOpenTunnelIsTurnedAwayAndTheFirstIsUntouched() throws Exception {
+        ServerSocket host = listening();
+        start("1024", host);
+        Socket first = client("OPEN same k c=p,d=3000\r\n");
+        Socket side = accept(host);
+        hear(side);
+        assertTrue(hear(client("OPEN same k c=p,d=3000\r\n")).startsWith("ERR "));
+        say(side, "UP r\r\n");
+        assertEquals(hear(first), "UP r");
+        assertTrue(hear(client("OPEN same k c=p,d=3000\r\n")).startsWith("ERR "));
+        say(first, "line\r\n");
+        assertEquals(hear(side), "line");
+    }
+
+    @Test
+    public void clientThatSendsWithoutAnEndHearsWhyAndIsClosed() throws Exception {
+        start("1024");
+        Socket endless = client("");
+        CompletableFuture<Void> sending = CompletableFuture.runAsync(() -> {
+            try {
+                while (true) {
+                    endless.getOutputStream().write(new byte[1 << 16]);
+                }
+            } catch (IOException e) {
+                // The node has closed: what is sent on is refused.
+            }
+        });
+        assertEquals(hear(endless), "ERR line over 4096 bytes");
+        sending.get(3, java.util.concurrent.TimeUnit.SECONDS);
+    }
+
     @Test
     public void hostThatIsBusyOrRefusesIsFollowedByAnother() throws Exception {
         ServerSocket gone = listening();
