A host that sinks on after moves loses more of its tunnels each time

It was asked in time and moved off at 1.0, 1.2 and 1.6, each time by what its own tunnels would have to give if all the load were theirs; but the neighbour's part did not fall. Ruled out: resets (each shuns a host for 4 s, but few tunnels arrive), discovery, the node's own lateness.

moveOffSinking() now counts the times in a row and moves that many times the part.

--- a/src/main/java/embershift/Policy.java
+++ b/src/main/java/embershift/Policy.java
@@ -804,6 +804,7 @@
 
     /** Moves some tunnels off a host that can't serve those it has. */
     private void moveOffSinking(Host host) {
+        host.movedInRow = host.load > SINKING ? host.movedInRow : 0;
         if (host.load > SINKING && now >= host.nextMove && deployment.reportsCapacity() && !host.cold()) {
             // Reports lag: what was moved since shows only in later ones.
             host.nextMove = now + MOVE_PAUSE * PERIOD;
@@ -811,7 +812,8 @@
                 decisions.tellAllNodes(host.id.name().getBytes(StandardCharsets.UTF_8));
             }
             // Every node moves the same part of its own, so together they move what is too much.
-            moveSome(host, (host.load - BRIMFUL) / host.load);
+            // What comes from elsewhere does not fall with them: who sinks on loses more of them each time.
+            moveSome(host, Math.min(1, ++host.movedInRow * (host.load - BRIMFUL) / host.load));
         }
     }
 
@@ -879,6 +881,7 @@
         int placedSinceReport;
         double nextMove = Double.NEGATIVE_INFINITY;
         int failuresInRow;
+        int movedInRow;
         double shunnedUntil = Double.NEGATIVE_INFINITY;
         boolean noted;
         double silentUntil = Double.NEGATIVE_INFINITY;
--- a/src/test/java/embershift/PolicyTest.java
+++ b/src/test/java/embershift/PolicyTest.java
@@ -529,6 +529,19 @@
         assertEquals(node.count("move t0"), 1);
     }
 
+    @Test
+    public void hostThatSinksOnLosesMoreOfItsTunnelsEachTime() {
+        Node node = new Node(2);
+        node.stand(0, 20, 1);
+        assertEquals(node.loads(0.1, 1).count("move"), 4);
+        node.now += 2.1;
+        assertEquals(node.loads(0.1, 1).count("move"), 0.4 * 16, 1);
+        node.now += 2.1;
+        assertEquals(node.loads(0.1, 0.85).count("move"), 0);
+        node.now += 2.1;
+        assertEquals(node.loads(0.1, 1).count("move"), 0.2 * 10, 1);
+    }
+
     @Test
     public void nodeThatFindsAHostSinkingTellsTheOthers() {
         Node node = new Node(2);
