Reactor of core, node and emulator; the module becomes embershift.policy

Need: every later direction gets a module of its own, and what may know what has to be checked, not remembered.

--- a/src/main/java/embershift/model/News.java
+++ b/core/src/main/java/embershift/model/News.java
@@ -20,14 +20,14 @@
     void rosterLost();
 
     /**
-     * The node now owes this tunnel one final answer; tenant, subject and group are null where not
+     * The node now owes this tunnel one final answer; participant, subject and group are null where not
      * given.
      */
-    void tunnelArrived(TunnelId id, ProfileId profile, TenantId tenant, SubjectId subject, GroupId group,
+    void tunnelArrived(TunnelId id, ProfileId profile, ParticipantId participant, SubjectId subject, GroupId group,
                        double timeLeft, boolean midFlow);
 
     /** A tunnel that already stood when the node started; its first setup counts as number 0. */
-    void tunnelStanding(TunnelId id, ProfileId profile, TenantId tenant, SubjectId subject, GroupId group,
+    void tunnelStanding(TunnelId id, ProfileId profile, ParticipantId participant, SubjectId subject, GroupId group,
                         HostId host);
 
     void tunnelOpened(TunnelId id, int setup, HostId host, double took);
--- a/src/main/java/embershift/model/TenantId.java
+++ b/core/src/main/java/embershift/model/ParticipantId.java
@@ -1,5 +1,5 @@
 package embershift.model;
 
 /** A participant. */
-public record TenantId(String name) {
+public record ParticipantId(String name) {
 }
--- a/src/main/java/embershift/Chance.java
+++ b/core/src/main/java/embershift/policy/Chance.java
@@ -1,4 +1,4 @@
-package embershift;
+package embershift.policy;
 
 import java.nio.ByteBuffer;
 import java.util.zip.CRC32;
--- a/src/main/java/embershift/Departures.java
+++ b/core/src/main/java/embershift/policy/Departures.java
@@ -1,4 +1,4 @@
-package embershift;
+package embershift.policy;
 
 import java.util.ArrayDeque;
 import java.util.Collection;
--- a/src/main/java/embershift/Holders.java
+++ b/core/src/main/java/embershift/policy/Holders.java
@@ -1,6 +1,6 @@
-package embershift;
+package embershift.policy;
 
-import embershift.Policy.Host;
+import embershift.policy.Policy.Host;
 import embershift.model.GroupId;
 
 import java.util.HashMap;
--- a/src/main/java/embershift/Pace.java
+++ b/core/src/main/java/embershift/policy/Pace.java
@@ -1,4 +1,4 @@
-package embershift;
+package embershift.policy;
 
 /**
  * Guards the session store, or whatever else all setups share: where they fail at many hosts, sending more
--- a/src/main/java/embershift/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -1,4 +1,4 @@
-package embershift;
+package embershift.policy;
 
 import embershift.model.Decisions;
 import embershift.model.Deployment;
@@ -12,7 +12,7 @@
 import embershift.model.ProfileId;
 import embershift.model.SetupEnd;
 import embershift.model.SubjectId;
-import embershift.model.TenantId;
+import embershift.model.ParticipantId;
 import embershift.model.TunnelId;
 import embershift.model.ZoneId;
 
@@ -243,7 +243,7 @@
     // ---- Tunnels and their setups ----
 
     @Override
-    public void tunnelArrived(TunnelId id, ProfileId profile, TenantId tenant, SubjectId subject,
+    public void tunnelArrived(TunnelId id, ProfileId profile, ParticipantId participant, SubjectId subject,
                               GroupId group, double timeLeft, boolean midFlow) {
         Profile row = profiles.get(profile);
         if (row == null || table.containsKey(id)) {
@@ -261,7 +261,7 @@
     }
 
     @Override
-    public void tunnelStanding(TunnelId id, ProfileId profile, TenantId tenant, SubjectId subject,
+    public void tunnelStanding(TunnelId id, ProfileId profile, ParticipantId participant, SubjectId subject,
                                GroupId group, HostId at) {
         Host host = hosts.get(at);
         Profile row = profiles.get(profile);
--- a/src/main/java/embershift/Ring.java
+++ b/core/src/main/java/embershift/policy/Ring.java
@@ -1,4 +1,4 @@
-package embershift;
+package embershift.policy;
 
 /** A measure over time: in a ring of fixed time buckets, sums of what was measured, and how often it was. */
 final class Ring {
--- a/src/main/java/embershift/Seats.java
+++ b/core/src/main/java/embershift/policy/Seats.java
@@ -1,6 +1,6 @@
-package embershift;
+package embershift.policy;
 
-import embershift.Policy.Host;
+import embershift.policy.Policy.Host;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
--- a/src/test/java/embershift/Node.java
+++ b/core/src/test/java/embershift/policy/Node.java
@@ -1,4 +1,4 @@
-package embershift;
+package embershift.policy;
 
 import embershift.model.Decisions;
 import embershift.model.Deployment;
--- a/src/test/java/embershift/PolicyTest.java
+++ b/core/src/test/java/embershift/policy/PolicyTest.java
@@ -1,4 +1,4 @@
-package embershift;
+package embershift.policy;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
--- /dev/null
+++ b/emulator/src/test/java/embershift/ArchitectureTest.java
@@ -0,0 +1,66 @@
+package embershift;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+
+import org.testng.annotations.Test;
+
+/** Who may know whom: docs/architecture.md as rules. */
+public class ArchitectureTest {
+
+    private static final JavaClasses PROGRAM = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("embershift");
+
+    @Test
+    public void eachLayerIsKnownOnlyToThoseThatBuildOnIt() {
+        layeredArchitecture().consideringAllDependencies()
+                .layer("model").definedBy("embershift.model")
+                .layer("policy").definedBy("embershift.policy")
+                .layer("transport").definedBy("embershift.transport")
+                .layer("protocol").definedBy("embershift.protocol")
+                .layer("routing").definedBy("embershift.routing")
+                .layer("adapter").definedBy("embershift.adapter")
+                .layer("program").definedBy("embershift.program")
+                .layer("emulator").definedBy("embershift.emulator..")
+                .whereLayer("policy").mayOnlyBeAccessedByLayers("routing", "adapter", "emulator")
+                .whereLayer("transport").mayOnlyBeAccessedByLayers("routing", "program", "emulator")
+                .whereLayer("protocol").mayOnlyBeAccessedByLayers("routing", "adapter", "program", "emulator")
+                .whereLayer("routing").mayOnlyBeAccessedByLayers("program", "emulator")
+                .whereLayer("adapter").mayOnlyBeAccessedByLayers("program")
+                .whereLayer("program").mayOnlyBeAccessedByLayers("emulator")
+                .whereLayer("emulator").mayNotBeAccessedByAnyLayer()
+                .check(PROGRAM);
+    }
+
+    @Test
+    public void theModuleStandsOnNothingAndDoesNoInputOrOutput() {
+        classes().that().resideInAnyPackage("embershift.model", "embershift.policy")
+                .should().onlyDependOnClassesThat().resideInAnyPackage("embershift.model", "embershift.policy",
+                        "java.lang", "java.lang.invoke", "java.util", "java.util.function", "java.util.stream",
+                        "java.util.zip", "java.nio", "java.nio.charset")
+                .check(PROGRAM);
+    }
+
+    @Test
+    public void theModuleHasNoClockAndNoThreads() {
+        noClasses().that().resideInAnyPackage("embershift.model", "embershift.policy")
+                .should().callMethod(System.class, "currentTimeMillis")
+                .orShould().callMethod(System.class, "nanoTime")
+                .orShould().dependOnClassesThat().areAssignableTo(Thread.class)
+                .check(PROGRAM);
+    }
+
+    @Test
+    public void thePlatformsNodeHoldsOnlyItsTwoLibraries() {
+        classes().that().resideInAnyPackage("embershift.transport", "embershift.protocol", "embershift.routing",
+                        "embershift.adapter", "embershift.program")
+                .should().onlyDependOnClassesThat().resideInAnyPackage("embershift..", "java..", "sun.misc",
+                        "org.xnio..", "com.beust.jcommander..")
+                .check(PROGRAM);
+    }
+}
--- a/src/main/java/embershift/adapter/Adapter.java
+++ b/node/src/main/java/embershift/adapter/Adapter.java
@@ -1,6 +1,6 @@
 package embershift.adapter;
 
-import embershift.Policy;
+import embershift.policy.Policy;
 import embershift.model.GroupId;
 import embershift.model.HostId;
 import embershift.model.Listing;
@@ -8,7 +8,7 @@
 import embershift.model.ProfileId;
 import embershift.model.SetupEnd;
 import embershift.model.SubjectId;
-import embershift.model.TenantId;
+import embershift.model.ParticipantId;
 import embershift.model.TunnelId;
 import embershift.model.ZoneId;
 
@@ -249,7 +249,7 @@
         TunnelId id = new TunnelId(line.text("handle"));
         ProfileId profile = new ProfileId(line.text("category"));
         String team = line.optional("team");
-        TenantId tenant = team == null ? null : new TenantId(team);
+        ParticipantId participant = team == null ? null : new ParticipantId(team);
         String object = line.optional("object");
         SubjectId subject = object == null ? null : new SubjectId(object);
         double left = line.numberOr("left-s", 0);
@@ -261,9 +261,9 @@
         line.flag("came-back");
         if (word.equals("RESUMED")) {
             HostId host = new HostId(line.text("host"));
-            return news -> news.tunnelStanding(id, profile, tenant, subject, group, host);
+            return news -> news.tunnelStanding(id, profile, participant, subject, group, host);
         }
-        return news -> news.tunnelArrived(id, profile, tenant, subject, group, left, midFlow);
+        return news -> news.tunnelArrived(id, profile, participant, subject, group, left, midFlow);
     }
 
     private Consumer<News> setupEnd(Fields line, Instance instance) {
--- a/src/main/java/embershift/protocol/Opening.java
+++ b/node/src/main/java/embershift/protocol/Opening.java
@@ -4,7 +4,7 @@
 import embershift.model.HostId;
 import embershift.model.ProfileId;
 import embershift.model.SubjectId;
-import embershift.model.TenantId;
+import embershift.model.ParticipantId;
 import embershift.model.TunnelId;
 
 import java.nio.ByteBuffer;
@@ -24,7 +24,7 @@
     private TunnelId id;
     private SubjectId subject;
     private ProfileId profile;
-    private TenantId tenant;
+    private ParticipantId participant;
     private GroupId group;
     private HostId standingAt;
     private double clientTimeout;
@@ -84,7 +84,7 @@
                 digitsTo = to;
             }
             case "g" -> group = new GroupId(value);
-            case "tenant" -> tenant = new TenantId(value);
+            case "tenant" -> participant = new ParticipantId(value);
             case "at" -> standingAt = new HostId(value);
             default -> { }  // goes on to the host like the rest of the line
         }
@@ -112,8 +112,8 @@
     }
 
     /** Null where the line names none; so for the group and the host. */
-    public TenantId tenant() {
-        return tenant;
+    public ParticipantId participant() {
+        return participant;
     }
 
     public GroupId group() {
--- a/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -1,6 +1,6 @@
 package embershift.routing;
 
-import embershift.Policy;
+import embershift.policy.Policy;
 import embershift.model.Decisions;
 import embershift.model.Deployment;
 import embershift.model.HostId;
@@ -270,7 +270,7 @@
             passage.refuse("unknown profile " + opening.profile().name());
             return;
         }
-        hear(news -> news.tunnelArrived(opening.id(), opening.profile(), opening.tenant(), opening.subject(),
+        hear(news -> news.tunnelArrived(opening.id(), opening.profile(), opening.participant(), opening.subject(),
                 opening.group(), passage.timeLeft(now()), false));
     }
 
@@ -296,7 +296,7 @@
     void opened(Passage passage, Contact contact, int setup, double took) {
         Opening opening = passage.opening();
         if (opening.standingAt() != null) {
-            hear(news -> news.tunnelStanding(opening.id(), opening.profile(), opening.tenant(),
+            hear(news -> news.tunnelStanding(opening.id(), opening.profile(), opening.participant(),
                     opening.subject(), opening.group(), contact.host));
         } else {
             hear(news -> news.tunnelOpened(opening.id(), setup, contact.host, took));
