--- /dev/null
+++ b/emulator/src/main/java/embershift/emulator/judge/package-info.java
@@ -0,0 +1,2 @@
+/** The four rules, kept by what clients and hosts saw. */
+package embershift.emulator.judge;
