--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -133,6 +133,7 @@
     private boolean watching;
     private double rosterCallAt = Double.POSITIVE_INFINITY;
     private double rosterPatience;
+    private double rosterLostAt;
 
     public Policy(Deployment deployment) {
         this.deployment = deployment;
@@ -196,6 +197,7 @@
                 enrol(host);
             }
             if (listing.launchedAt() > host.launchedAt) {
+                host.back = host.zone != null;
                 host.launchedAt = listing.launchedAt();
                 host.startsAnew(listing.launchedAt());
                 host.nextProbe = now;
@@ -226,6 +228,7 @@
     @Override
     public void rosterLost() {
         // The watch may have broken: ask anew, later each time and out of step with other nodes.
+        rosterLostAt = watching ? now : rosterLostAt;
         watching = false;
         rosterCallAt = now + rosterPatience * (0.25 + 0.5 * chance.next());
         rosterPatience = Math.min(rosterPatience * 1.5, deployment.mustAskWithin() / 2);
@@ -493,7 +496,7 @@
         mean += host.loadOfOne() / counted;
         host.placedSinceReport++;
         placed.add(now, 0, 1);
-        host.coldCredit -= 1;
+        host.warming.took();
         decisions.setUp(tunnel.id, host.id, timeOut);
     }
 
@@ -551,7 +554,7 @@
     private boolean mayTake(Host host, Tunnel tunnel) {
         return host.takesNew() && dropsRepeats(tunnel, host)
                 && (noneAnswers || !host.silent()) && (doubtful || !host.shunned())
-                && (!host.cold() || host.coldMayTake());
+                && (!host.cold() || host.warming.mayTake(now, warmHostCanTake));
     }
 
     /**
@@ -611,7 +614,7 @@
         for (Host host : roll) {
             if (host.takesNew()) {
                 active++;
-                warm += host.cold() ? 0 : 1;
+                warm += host.cold() && !host.back ? 0 : 1;
                 reachable += host.silent() ? 0 : 1;
                 if (!host.silent() && !host.shunned()) {
                     healthy.add(host);
@@ -676,10 +679,7 @@
 
     private Host drawn(List<Host> active, double mark) {
         int n = active.size();
-        double total = 0;
-        for (Host host : active) {
-            total += count(host);
-        }
+        double total = active.stream().mapToDouble(this::count).sum();
         for (Host host : active) {
             mark -= weight(count(host), total, n);
             if (mark < 0) {
@@ -736,6 +736,7 @@
             host.probing = false;
             host.reportedAt = answered ? now : host.reportedAt;
             host.silentUntil = answered ? now : now + SHUN * PERIOD;
+            host.away |= !answered;
         }
     }
 
@@ -746,6 +747,7 @@
             double load = !Double.isNaN(loadOverCapacity) ? loadOverCapacity
                     : !Double.isNaN(openTunnels) ? openTunnels : queued;
             if (load >= 0 && load < Double.POSITIVE_INFINITY) {  // else senseless: the figure before stands
+                doubt(host, load);
                 host.load = load;
                 host.openThere = openTunnels >= 0 ? openTunnels : Double.NaN;
                 host.reportedAt = now;
@@ -756,6 +758,19 @@
         }
     }
 
+    /** Rule 4: a host that came back from death looks idle; a roster that is away or late does not tell. */
+    private void doubt(Host host, double load) {
+        boolean rosterAway = rosterCallAt < Double.POSITIVE_INFINITY
+                && host.warming.beganBefore(rosterLostAt);
+        survey();
+        if ((host.away || rosterAway) && !host.cold() && heard >= FEW / 2 && load < usualLoad / FEW) {
+            host.warming.begin(now, now);
+            host.back = true;
+        }
+        surveyed = false;
+        host.away = false;
+    }
+
     /** A host that fails looks idle and would keep a wide interval: it weighs zero for a while. */
     private void judge(Host host, SetupEnd end, boolean stood) {
         switch (end) {
@@ -763,6 +778,7 @@
                 if (stood) {
                     // A host that sheds tunnels tells it by its load, one that died by not answering.
                     host.nextProbe = Math.min(host.nextProbe, now);
+                    host.away |= end == SetupEnd.BROKEN;
                     return;
                 }
                 host.failuresInRow++;
@@ -770,6 +786,7 @@
             }
             case NO_CONNECTION -> {
                 host.silentUntil = now + SHUN * PERIOD;
+                host.away = true;
                 host.nextProbe = Math.min(host.nextProbe, now);
             }
             case FULL -> host.shunnedUntil = Math.max(host.shunnedUntil, now + PERIOD / 2);
@@ -777,7 +794,6 @@
         }
     }
 
-
     @Override
     public void messageDelayNoted(HostId at, double delay) {
         askSinking(hosts.get(at), false);
@@ -872,9 +888,9 @@
         ZoneId zone;
         int cell;
         double launchedAt;
-        double coldUntil = Double.NEGATIVE_INFINITY;
-        double coldCredit;
-        double coldCreditAt;
+        final Warming warming = new Warming(deployment, chance);
+        /** Whether it was here before it last started: what ends in the fleet ended on it as well. */
+        boolean back;
         double load = Double.NaN;
         double openThere = Double.NaN;
         double reportedAt = Double.NEGATIVE_INFINITY;
@@ -885,6 +901,7 @@
         double shunnedUntil = Double.NEGATIVE_INFINITY;
         boolean noted;
         double silentUntil = Double.NEGATIVE_INFINITY;
+        boolean away;
         double nextNoted = Double.NEGATIVE_INFINITY;
         boolean probing;
         double nextProbe = Double.POSITIVE_INFINITY;
@@ -894,10 +911,7 @@
         }
 
         void startsAnew(double at) {
-            coldUntil = at + deployment.warmAfter();
-            // Nodes hear of a start together: a random part of the first unit keeps them apart.
-            coldCredit = chance.next();
-            coldCreditAt = now;
+            warming.begin(at, now);
             load = Double.NaN;
             reportedAt = Double.NEGATIVE_INFINITY;
             shunnedUntil = now;
@@ -929,22 +943,7 @@
         }
 
         boolean cold() {
-            return now < coldUntil;
-        }
-
-        /**
-         * Rule 4: this node's part of what a cold host can be sent. What a warm host could take in a
-         * second is what this node's tunnels on one come to an end, over its load: moves and returns do
-         * not swell that.
-         */
-        boolean coldMayTake() {
-            double climbed = 1 - (coldUntil - now) / deployment.warmAfter();
-            double part = deployment.coldFrom() + (1 - deployment.coldFrom()) * Math.max(0, climbed);
-            double rate = deployment.fallMultiple() * part * warmHostCanTake;
-            double most = Math.max(1, rate * deployment.fallAfter());
-            coldCredit = Math.min(coldCredit + rate * (now - coldCreditAt), most);
-            coldCreditAt = now;
-            return coldCredit >= 1;
+            return warming.lasts(now);
         }
 
         /** The latest figure, else the mean of the others', with what this node has placed since. */
--- a/core/src/test/java/embershift/policy/PolicyTest.java
+++ b/core/src/test/java/embershift/policy/PolicyTest.java
@@ -317,6 +317,58 @@
         assertTrue(cold >= 8, "sent to cold hosts: " + cold);
     }
 
+    @Test
+    public void hostsThatAllStartAgainShareWhatTheyDidWhenWarm() {
+        Node node = new Node(10).loads(0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5);
+        node.arrive(0, 40, null);
+        node.round(news -> {
+            for (int i = 0; i < 40; i++) {
+                news.tunnelOpened(Node.tun(i), 0, Node.host(0), 0.1);
+                news.setupEnded(Node.tun(i), 0, Node.host(0), SetupEnd.COMPLETED, 1, true);
+            }
+            news.rosterChanged(IntStream.range(0, 10)
+                    .mapToObj(i -> Node.listing(i, Listing.State.READY, 100)).toList());
+        });
+        node.arrive(100, 1, null);
+        node.now += 1;
+        node.loads(0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
+        node.arrive(101, 200, null);
+        // 2.5 a second ended on all ten: 3 times 0.3 and something of that is what all can take in a second.
+        assertTrue(node.count("set up") <= 10, "sent " + node.count("set up"));
+    }
+
+    /** A node among five hosts at 0.6 and one that reports 0.02 as the roster is out of reach or heard. */
+    private static long sentToAnEmptyHost(boolean rosterHeard, boolean wasAway) {
+        Node node = new Node(6).loads(0.6, 0.6, 0.6, 0.6, 0.6, 0.6);
+        node.now += 2;
+        node.round(news -> { });
+        node.round(news -> {
+            if (rosterHeard) {
+                news.rosterChanged(List.of());
+            } else {
+                news.rosterLost();
+            }
+        });
+        if (wasAway) {
+            node.round(news -> news.probeEnded(Node.host(0), false, 0.1));
+        }
+        node.now += 1;
+        node.loads(0.02, 0.6, 0.6, 0.6, 0.6, 0.6);
+        node.arrive(0, 30, null);
+        return node.sentTo(0);
+    }
+
+    @Test
+    public void hostThatComesBackEmptyWhileTheRosterIsAwayIsHeldForCold() {
+        assertTrue(sentToAnEmptyHost(false, false) <= 1);
+        assertTrue(sentToAnEmptyHost(true, true) <= 1);
+    }
+
+    @Test
+    public void hostThatWasAlwaysThereMayBeEmpty() {
+        assertTrue(sentToAnEmptyHost(true, false) > 10, "sent " + sentToAnEmptyHost(true, false));
+    }
+
     @Test
     public void declinedTunnelsAreWorthNoProbes() {
         Node node = new Node(4).loads(0.95, 0.95, 0.95, 0.95);
--- a/emulator/src/main/java/embershift/emulator/day/Day.java
+++ b/emulator/src/main/java/embershift/emulator/day/Day.java
@@ -1,5 +1,7 @@
 package embershift.emulator.day;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
+
 import java.util.List;
 
 /**
@@ -26,7 +28,7 @@
     }
 
     /** What a draining host does with its tunnels until it stops. */
-    public enum Drain { AT_ONCE, GRADUALLY, KEPT }
+    public enum Drain { @JsonProperty("at-once") AT_ONCE, GRADUALLY, KEPT }
 
     public record Traffic(double load, boolean standing, double life, double lifeSpread, double perCore,
                           double loadSpread, double loadChangesEvery, double groupSize) {
@@ -36,7 +38,7 @@
                           double patience, double message, double credit, double load, double life) {
     }
 
-    public enum Repeat { REPEATABLE, REFERENCED, ONCE_ONLY }
+    public enum Repeat { REPEATABLE, REFERENCED, @JsonProperty("once-only") ONCE_ONLY }
 
     public enum Scope { ALL, ZONE, CELL }
 
--- a/emulator/src/main/java/embershift/emulator/day/DayReader.java
+++ b/emulator/src/main/java/embershift/emulator/day/DayReader.java
@@ -68,23 +68,43 @@
     }
 
     public Day read(String text, String file, Map<String, String> changes) throws UnreadableDay {
-        KeyLines lines = new KeyLines(text);
-        JsonNode tree;
+        ObjectNode tree = tree(text, file);
         try {
-            tree = toml.readTree(text);
             for (Map.Entry<String, String> change : changes.entrySet()) {
-                change((ObjectNode) tree, change.getKey(), toml.readTree("v = " + change.getValue()).get("v"));
+                change(tree, change.getKey(), value(change.getValue()));
             }
+        } catch (IllegalArgumentException e) {
+            throw new UnreadableDay(file + ":1: " + e.getMessage());
+        }
+        return read(tree, text, file);
+    }
+
+    /** The keys that a text itself sets. */
+    public ObjectNode tree(String text, String file) throws UnreadableDay {
+        try {
+            return (ObjectNode) toml.readTree(text);
         } catch (JacksonException e) {
             int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
             throw new UnreadableDay(file + ":" + line + ": " + e.getOriginalMessage().lines().findFirst().orElse(""));
-        } catch (IllegalArgumentException e) {
-            throw new UnreadableDay(file + ":1: " + e.getMessage());
         }
+    }
+
+    /** A value as it would stand in a day's file; what is no such value is taken for a text. */
+    private JsonNode value(String text) {
+        try {
+            return toml.readTree("v = " + text).get("v");
+        } catch (JacksonException e) {
+            return toml.getNodeFactory().textNode(text);
+        }
+    }
+
+    /** Checks the tree of a day that was read from {@code text}, and makes the day of it. */
+    public Day read(ObjectNode tree, String text, String file) throws UnreadableDay {
+        KeyLines lines = new KeyLines(text);
         Set<ValidationMessage> wrong = schema.validate(tree);
         if (!wrong.isEmpty()) {
-            ValidationMessage first = wrong.stream().min(Comparator.comparingInt(message ->
-                    lines.of(pointer(message)))).orElseThrow();
+            ValidationMessage first = wrong.stream().min(Comparator.<ValidationMessage>comparingInt(message ->
+                    lines.of(pointer(message))).thenComparing(ValidationMessage::getMessage)).orElseThrow();
             throw unreadable(file, lines, pointer(first), first.getMessage().replaceFirst("^[^:]*: ", ""));
         }
         Day day;
@@ -144,11 +164,8 @@
                 JsonNode under = usual.get(key.getKey());
                 both.set(key.getKey(), under == null ? key.getValue() : laidOver(under, key.getValue()));
             }
-            if (!own.has("trouble")) {
-                both.remove("trouble");
-                if (usual.has("trouble")) {
-                    both.putArray("trouble");
-                }
+            if (usual.has("trouble") && !own.has("trouble")) {
+                both.putArray("trouble");
             }
             return both;
         }
--- a/emulator/src/main/java/embershift/emulator/experiment/Play.java
+++ b/emulator/src/main/java/embershift/emulator/experiment/Play.java
@@ -18,7 +18,7 @@
     }
 
     public static Play of(Day day, String with, long seed) {
-        return new Play(day, with, seed, Map.of());
+        return new Play(day, with, seed, null);
     }
 
     public Result result() {
--- a/emulator/src/main/java/embershift/emulator/experiment/Result.java
+++ b/emulator/src/main/java/embershift/emulator/experiment/Result.java
@@ -24,7 +24,13 @@
         List<double[]> loads) {
 
     private static final int MOST_BREACHES = 20;
-    private static final double[] PERCENTILES = {50, 90, 99, 99.9};
+    private static final double[] PERCENTILES = {10, 25, 50, 75, 90, 95, 99, 99.9, 100};
+
+    public Result {
+        breaches = breaches == null ? List.of() : breaches;
+        each = each == null ? new double[0] : each;
+        loads = loads == null ? List.of() : loads;
+    }
 
     static Result of(Outcome outcome, String with, long seed, Map<String, String> vary, List<Breach> breaches,
                      boolean whole) {
--- /dev/null
+++ b/emulator/src/main/java/embershift/emulator/report/package-info.java
@@ -0,0 +1,2 @@
+/** Results for people: one page with plots that needs nothing else. */
+package embershift.emulator.report;
--- a/emulator/src/main/java/embershift/emulator/world/Network.java
+++ b/emulator/src/main/java/embershift/emulator/world/Network.java
@@ -56,11 +56,7 @@
 
     /** Seconds one way for a segment of a stream that does arrive. */
     double delay(Place from, Place to) {
-        return delay(from.zone.equals(to.zone));
-    }
-
-    private double delay(boolean sameZone) {
-        double delay = dice.within(sameZone ? figures.within() : figures.between());
+        double delay = dice.within(from.zone.equals(to.zone) ? figures.within() : figures.between());
         double again = figures.again();
         while (figures.loss() > 0 && dice.part() < figures.loss()) {
             delay += again;
@@ -69,9 +65,9 @@
         return delay;
     }
 
-    /** From a client to a node of its zone, or back. */
+    /** From a client to a node of its zone, or back: what is lost there is no node's doing, so nothing is. */
     double nearDelay() {
-        return delay(true);
+        return dice.within(figures.within());
     }
 
     /** Brings a part of a stream over, when it can be brought. */
--- a/emulator/src/main/java/embershift/emulator/world/World.java
+++ b/emulator/src/main/java/embershift/emulator/world/World.java
@@ -565,13 +565,12 @@
             if (launch != host.launches()) {
                 return;
             }
-            if (setup.closedAtHost || half || host.state() != Host.State.RUNNING) {
+            // Draining or not, what has begun to run is brought to its end: BUSY now would say that it never ran.
+            if (setup.closedAtHost || half) {
                 host.forget();
                 counts.wastedWork += work;
-                if (half) {
+                if (!setup.closedAtHost) {
                     reply(setup, SetupEnd.BROKEN);
-                } else if (!setup.closedAtHost) {
-                    reply(setup, SetupEnd.FULL);
                 }
                 return;
             }
