--- a/emulator/src/main/java/embershift/emulator/Main.java
+++ b/emulator/src/main/java/embershift/emulator/Main.java
@@ -8,6 +8,7 @@
 import embershift.emulator.day.Day;
 import embershift.emulator.day.DayReader;
 import embershift.emulator.day.UnreadableDay;
+import embershift.emulator.experiment.Apart;
 import embershift.emulator.experiment.Comparison;
 import embershift.emulator.experiment.Hunt;
 import embershift.emulator.experiment.Lines;
@@ -15,6 +16,7 @@
 import embershift.emulator.experiment.Result;
 import embershift.emulator.experiment.Sweep;
 import embershift.emulator.report.Report;
+import embershift.emulator.sockets.SocketDay;
 import embershift.emulator.world.Trace;
 
 import java.io.IOException;
@@ -118,9 +120,33 @@
         @Parameter(names = "--out", description = "A file for the result, as one line of JSON")
         String out;
 
+        @Parameter(names = "--sockets", description = "Play it on loopback too, in real time, and tell how far apart they "
+                + "are: nodes in this process (here) or in their own (forked)")
+        String sockets;
+
+        private int playOnSockets() throws IOException, UnreadableDay {
+            SocketDay.Nodes nodes;
+            try {
+                nodes = SocketDay.Nodes.valueOf(sockets.toUpperCase(Locale.ROOT));
+            } catch (IllegalArgumentException e) {
+                throw new ParameterException("--sockets takes here or forked, not " + sockets);
+            }
+            Play play = Play.of(day(), Baselines.OWN, seed);
+            Result virtual = play.play(Baselines.of(Baselines.OWN), Trace.NONE, true).result();
+            Play.SocketPlay real = play.onSockets(nodes, Trace.NONE);
+            System.out.print(Apart.table(virtual, real));
+            if (out != null) {
+                Lines.write(Path.of(out), List.of(virtual, real.result()));
+            }
+            return real.result().breaches().isEmpty() && real.troubles().isEmpty() ? 0 : BROKEN;
+        }
+
         @Override
         public int run() throws IOException, UnreadableDay {
             known(List.of(with));
+            if (sockets != null) {
+                return playOnSockets();
+            }
             Trace told = trace == null ? Trace.NONE : new Trace(trace, System.out::println);
             Play.Timed played = Play.of(day(), with, seed).play(Baselines.of(with), told, true);
             Result result = played.result();
--- /dev/null
+++ b/emulator/src/main/java/embershift/emulator/sockets/NodeStand.java
@@ -0,0 +1,144 @@
+package embershift.emulator.sockets;
+
+import embershift.protocol.NodeConfiguration;
+import embershift.protocol.Unreadable;
+import embershift.routing.Router;
+import embershift.transport.Loop;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A real node: its router on a loop of its own in this process, or the whole program in a process of its own. */
+interface NodeStand {
+
+    InetSocketAddress address();
+
+    /** Asks it to stop, as SIGTERM does. */
+    void leave();
+
+    /** Ends it without a word. */
+    void kill();
+
+    void pause(double seconds);
+
+    boolean runs();
+
+    /** Starts a node in this process. */
+    static NodeStand here(String configuration) throws IOException, Unreadable {
+        Loop loop = new Loop();
+        NodeConfiguration read = NodeConfiguration.read(configuration);
+        java.util.concurrent.CompletableFuture<Router> started = new java.util.concurrent.CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                Router router = new Router(loop, read, line -> { });
+                router.listen(read.listen());
+                started.complete(router);
+            } catch (IOException | RuntimeException e) {
+                started.completeExceptionally(e);
+            }
+        });
+        Router router = started.join();
+        return new NodeStand() {
+            private boolean alive = true;
+
+            @Override
+            public InetSocketAddress address() {
+                return read.listen();
+            }
+
+            @Override
+            public void leave() {
+                loop.execute(router::leave);
+            }
+
+            @Override
+            public void kill() {
+                alive = false;
+                loop.stop();
+            }
+
+            @Override
+            public void pause(double seconds) {
+                loop.execute(() -> {
+                    try {
+                        // The whole process stands still: nothing else may run on its thread meanwhile.
+                        TimeUnit.MILLISECONDS.sleep((long) (seconds * 1000));
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+            }
+
+            @Override
+            public boolean runs() {
+                return alive;
+            }
+        };
+    }
+
+    /** Starts the program that serves, by the classes that this one runs from; its log goes to a file beside. */
+    static NodeStand forked(String configuration, InetSocketAddress address, Path folder, String name)
+            throws IOException {
+        Path file = folder.resolve(name + ".json");
+        Files.writeString(file, configuration, StandardCharsets.UTF_8);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-Xms24m", "-Xmx96m", "-XX:TieredStopAtLevel=1", "-Xss256k", "-XX:-UsePerfData", "-cp",
+                System.getProperty("java.class.path"), "embershift.program.Main", "serve", "--configuration",
+                file.toString());
+        builder.environment().remove("LB_CONFIG");
+        File log = folder.resolve(name + ".log").toFile();
+        Process process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start();
+        return new NodeStand() {
+            @Override
+            public InetSocketAddress address() {
+                return address;
+            }
+
+            @Override
+            public void leave() {
+                process.destroy();
+            }
+
+            @Override
+            public void kill() {
+                process.destroyForcibly();
+            }
+
+            @Override
+            public void pause(double seconds) {
+                signal("-STOP");
+                Thread later = new Thread(() -> {
+                    try {
+                        TimeUnit.MILLISECONDS.sleep((long) (seconds * 1000));
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                    signal("-CONT");
+                }, "continue");
+                later.setDaemon(true);
+                later.start();
+            }
+
+            private void signal(String which) {
+                try {
+                    new ProcessBuilder(List.of("kill", which, String.valueOf(process.pid()))).start().waitFor();
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+
+            @Override
+            public boolean runs() {
+                return process.isAlive();
+            }
+        };
+    }
+}
--- a/emulator/src/main/java/embershift/emulator/world/Agenda.java
+++ b/emulator/src/main/java/embershift/emulator/world/Agenda.java
@@ -3,7 +3,7 @@
 import java.util.PriorityQueue;
 
 /** What is to happen, in the order of time and, at the same time, of being planned. Times are seconds. */
-final class Agenda {
+public final class Agenda {
 
     private record Entry(double time, long number, Runnable what) implements Comparable<Entry> {
         @Override
@@ -17,21 +17,34 @@
     private long planned;
     private double now;
 
-    double now() {
+    Agenda() {
+    }
+
+    /** An agenda whose time begins there. */
+    public Agenda(double begins) {
+        now = begins;
+    }
+
+    public double now() {
         return now;
     }
 
     /** What is planned for the past happens now: nothing runs backwards. */
-    void at(double time, Runnable what) {
+    public void at(double time, Runnable what) {
         entries.add(new Entry(Math.max(now, time), planned++, what));
     }
 
-    void in(double delay, Runnable what) {
+    public void in(double delay, Runnable what) {
         at(now + Math.max(0, delay), what);
     }
 
+    /** When the next thing is to happen; never, where nothing is planned. */
+    public double next() {
+        return entries.isEmpty() ? Double.POSITIVE_INFINITY : entries.peek().time;
+    }
+
     /** Lets everything happen that is planned before {@code end}, and returns how much that was. */
-    long runUntil(double end) {
+    public long runUntil(double end) {
         long happened = 0;
         while (!entries.isEmpty() && entries.peek().time < end) {
             Entry entry = entries.remove();
--- a/emulator/src/main/java/embershift/emulator/world/Backlog.java
+++ b/emulator/src/main/java/embershift/emulator/world/Backlog.java
@@ -8,7 +8,7 @@
  * (the fluid queue of Kleinrock, Queueing Systems vol. 2, section 2.7). Rates hold until they are changed, so the end
  * of a job is known exactly. The clients of the fluid wait for their answers: over {@code most} they send no more.
  */
-final class Backlog {
+public final class Backlog {
 
     /** A job, done when all that came before it and its own work are done. */
     private record Job(double doneAt, Runnable done) {
@@ -28,7 +28,7 @@
     private int plan;
 
     /** {@code most}: work that waits at the most before the fluid is held back. */
-    Backlog(Agenda agenda, double most) {
+    public Backlog(Agenda agenda, double most) {
         this.agenda = agenda;
         this.most = most;
     }
@@ -50,7 +50,7 @@
     }
 
     /** Work of so much a second from now on, and as much done in a second at the most. */
-    void rates(double inflow, double capacity) {
+    public void rates(double inflow, double capacity) {
         if (inflow != this.inflow || capacity != this.capacity) {
             advance();
             this.inflow = Math.max(0, inflow);
@@ -59,7 +59,7 @@
         }
     }
 
-    void job(double work, Runnable whenDone) {
+    public void job(double work, Runnable whenDone) {
         advance();
         waiting += work;
         jobs.add(new Job(done + waiting, whenDone));
@@ -69,12 +69,12 @@
     }
 
     /** Work that waits now. */
-    double waiting() {
+    public double waiting() {
         advance();
         return waiting;
     }
 
-    int jobs() {
+    public int jobs() {
         return jobs.size();
     }
 
--- a/emulator/src/main/java/embershift/emulator/world/Host.java
+++ b/emulator/src/main/java/embershift/emulator/world/Host.java
@@ -15,24 +15,23 @@
  * the wait behind what is queued, and in a machine with several cores the mean wait of Sakasegawa's approximation
  * (1977) for M/M/c, with its utilization held under 0.98: beyond that the backlog itself tells.
  */
-final class Host extends Place {
+public final class Host extends Place {
 
     /** What runs there. */
-    enum State { RUNNING, DRAINING, DOWN, SILENT }
+    public enum State { RUNNING, DRAINING, DOWN, SILENT }
 
     private static final double MOST_BUSY = 0.98;
     /** Troubles that make the whole machine do less, in the order in which they came. */
     private final List<Double> drags = new ArrayList<>();
     private int stalls;
     /** Parts of the setups that meet each of these ends; the latest trouble of a kind counts. */
-    double failing;
-    double halving;
-    boolean mute;
-    boolean refusing;
-
-    final int number;
-    final Day.Kind kind;
-    final int cell;
+    public double failing;
+    public double halving;
+    public boolean mute;
+    public boolean refusing;
+
+    public final Day.Kind kind;
+    public final int cell;
     final double speed;
     private final Day day;
     private final Agenda agenda;
@@ -56,13 +55,12 @@
     private double reportedLoad;
     private int reportedTunnels;
     private int reportedQueue;
-    private double reportNextAt;
+    private double reportNextAt = Double.NEGATIVE_INFINITY;
     private double reportLastAt;
 
     Host(Day day, int number, Day.Kind kind, double speed, String zone, Agenda agenda, Dice dice) {
-        super("h" + number, zone);
+        super(Sort.HOST, number, "h" + number, zone);
         this.day = day;
-        this.number = number;
         this.kind = kind;
         this.speed = speed;
         this.cell = number / day.fleet().cell();
@@ -72,31 +70,50 @@
         this.backlog = new Backlog(agenda, day.host().backlog() * nominal());
     }
 
-    HostId address() {
+    /** The hosts of a day: kinds in turn by their shares, zones in turn. */
+    public static List<Host> fleet(Day day, long seed, Agenda agenda) {
+        Dice dice = new Dice(seed, "fleet");
+        List<Host> hosts = new ArrayList<>();
+        List<String> zones = day.fleet().zones();
+        int many = day.fleet().hosts();
+        double share = 0;
+        int kind = 0;
+        for (int i = 0; i < many; i++) {
+            while (kind < day.kind().size() - 1 && (i + 0.5) / many > share + day.kind().get(kind).share()) {
+                share += day.kind().get(kind++).share();
+            }
+            Day.Kind row = day.kind().get(kind);
+            hosts.add(new Host(day, i, row, dice.within(row.speed()), zones.get(i % zones.size()), agenda,
+                    new Dice(seed, "host" + i)));
+        }
+        return hosts;
+    }
+
+    public HostId address() {
         return address;
     }
 
-    State state() {
+    public State state() {
         return state;
     }
 
-    int launches() {
+    public int launches() {
         return launches;
     }
 
-    double launchedAt() {
+    public double launchedAt() {
         return launchedAt;
     }
 
-    Set<Attempt> standing() {
+    public Set<Attempt> standing() {
         return standing;
     }
 
-    boolean runs() {
+    public boolean runs() {
         return state == State.RUNNING || state == State.DRAINING;
     }
 
-    boolean stalled() {
+    public boolean stalled() {
         return stalls > 0;
     }
 
@@ -111,12 +128,12 @@
         return part >= 1 ? 1 : day.host().coldFrom() + (1 - day.host().coldFrom()) * Math.max(0, part);
     }
 
-    boolean cold() {
+    public boolean cold() {
         return agenda.now() < launchedAt + day.host().warmAfter();
     }
 
     /** Work a second that it can do now, a stall left out: its figures don't know of one. */
-    double capacity() {
+    public double capacity() {
         double capacity = nominal() * warmed();
         for (double drag : drags) {
             capacity *= drag;
@@ -125,7 +142,7 @@
     }
 
     /** Work a second that its tunnels and their groups ask for. */
-    double demand() {
+    public double demand() {
         return tunnelLoad + groups.size() * day.host().groupCost() / day.traffic().perCore();
     }
 
@@ -144,7 +161,7 @@
     }
 
     /** Takes the present rates into account; called whenever they change, and now and then as it warms. */
-    void refresh() {
+    public void refresh() {
         backlog.rates(demand(), !runs() || stalled() ? 0 : capacity());
         if (agenda.now() >= reportNextAt) {
             double passed = Math.max(1e-3, agenda.now() - reportLastAt);
@@ -158,7 +175,7 @@
     }
 
     /** Seconds that a line takes there and back, without the way. */
-    double lineTakes() {
+    public double lineTakes() {
         double capacity = capacity();
         if (!runs() || stalled() || capacity <= 0) {
             return Double.POSITIVE_INFINITY;
@@ -174,31 +191,31 @@
         return (demand() + backlog.waiting()) / Math.max(1e-9, runs() && !stalled() ? capacity() : 0);
     }
 
-    double reportedLoad() {
+    public double reportedLoad() {
         return reportedLoad;
     }
 
-    int reportedTunnels() {
+    public int reportedTunnels() {
         return reportedTunnels;
     }
 
-    int reportedQueue() {
+    public int reportedQueue() {
         return reportedQueue;
     }
 
-    void probed() {
+    public void probed() {
         backlog.job(day.host().probeWork(), () -> { });
     }
 
     // ---- Tunnels ----
 
     /** Whether there is room for one more setup. */
-    boolean hasRoom() {
+    public boolean hasRoom() {
         return held < day.host().connections() && backlog.waiting() <= day.host().backlog() * capacity();
     }
 
     /** Does a setup's own work, after what waits before it. */
-    void setUp(double work, Runnable whenDone) {
+    public void setUp(double work, Runnable whenDone) {
         held++;
         setupWork += work;
         double alone = Math.max(0, work / speed - work / Math.max(1e-9, capacity()));
@@ -211,11 +228,11 @@
     }
 
     /** A setup came to nothing: its place is free again. */
-    void forget() {
+    public void forget() {
         held--;
     }
 
-    void admit(Attempt attempt) {
+    public void admit(Attempt attempt) {
         standing.add(attempt);
         tunnelLoad += attempt.load;
         groups.merge(attempt.caller.group, 1, Integer::sum);
@@ -223,12 +240,12 @@
     }
 
     /** A tunnel that stands at the day's beginning. */
-    void begin(Attempt attempt) {
+    public void begin(Attempt attempt) {
         held++;
         admit(attempt);
     }
 
-    void release(Attempt attempt) {
+    public void release(Attempt attempt) {
         if (standing.remove(attempt)) {
             held--;
             tunnelLoad -= attempt.load;
@@ -260,7 +277,7 @@
      * stays above {@code fall-multiple} times the tunnels a second that it could take up at that moment, were all
      * like the mean one, for the whole of {@code fall-after}. Returns how many a second are allowed if it is, else NaN.
      */
-    double pushed() {
+    public double pushed() {
         double now = agenda.now();
         double smoothed = smoothed(now);
         if (!cold()) {
@@ -296,20 +313,20 @@
         return (allowed() - smoothed(agenda.now())) * smoothing();
     }
 
-    double pushRate() {
+    public double pushRate() {
         return pushRate;
     }
 
     // ---- Its life ----
 
-    void drain() {
+    public void drain() {
         if (state == State.RUNNING) {
             state = State.DRAINING;
         }
     }
 
     /** Its program ends, or ({@code silent}) the machine is gone without a word. Returns what stood there. */
-    Set<Attempt> stop(boolean silent) {
+    public Set<Attempt> stop(boolean silent) {
         Set<Attempt> broken = new LinkedHashSet<>(standing);
         state = silent ? State.SILENT : State.DOWN;
         launches++;
@@ -325,7 +342,7 @@
     }
 
     /** A new program starts, cold; {@code moved}: under an address that nobody knows yet. */
-    void start(boolean moved) {
+    public void start(boolean moved) {
         state = State.RUNNING;
         launches++;
         launchedAt = agenda.now();
--- a/emulator/src/main/java/embershift/emulator/world/NodeShell.java
+++ b/emulator/src/main/java/embershift/emulator/world/NodeShell.java
@@ -31,7 +31,6 @@
     static final double NOTED_AFTER = 1.5;
     static final double MOVED_AFTER = 4;
 
-    final int number;
     private final World world;
     private final Module module;
     private final Map<TunnelId, Attempt> attempts = new LinkedHashMap<>();
@@ -48,9 +47,8 @@
     private long nanos;
 
     NodeShell(World world, int number, String zone, Module module) {
-        super("n" + number, zone);
+        super(Sort.NODE, number, "n" + number, zone);
         this.world = world;
-        this.number = number;
         this.module = module;
         this.lastRosterCall = world.now();
     }
--- a/emulator/src/main/java/embershift/emulator/world/Roster.java
+++ b/emulator/src/main/java/embershift/emulator/world/Roster.java
@@ -40,7 +40,7 @@
     long entries;
 
     Roster(Day.Roster figures, String zone, Agenda agenda, Network network, Dice dice, Witness witness) {
-        super("roster", zone);
+        super(Sort.ROSTER, 0, "roster", zone);
         this.figures = figures;
         this.agenda = agenda;
         this.network = network;
--- a/emulator/src/main/java/embershift/emulator/world/Service.java
+++ b/emulator/src/main/java/embershift/emulator/world/Service.java
@@ -18,7 +18,7 @@
     private final double[][][] asked;
     private final double[][][] served;
 
-    Service(Day day) {
+    public Service(Day day) {
         this.day = day;
         this.seconds = (int) Math.ceil(day.lasts());
         this.asked = new double[day.profile().size()][day.participant().size()][seconds];
@@ -26,12 +26,12 @@
     }
 
     /** A client wants to be served from then to then. */
-    void asks(int profile, int participant, double from, double to) {
+    public void asks(int profile, int participant, double from, double to) {
         spread(asked[profile][participant], from, to, day.profile().get(profile).credit());
     }
 
     /** So many of them were served from then to then. */
-    void serves(int profile, int participant, double from, double to, int many) {
+    public void serves(int profile, int participant, double from, double to, int many) {
         spread(served[profile][participant], from, to, many * day.profile().get(profile).credit());
     }
 
--- a/emulator/src/main/java/embershift/emulator/world/Trace.java
+++ b/emulator/src/main/java/embershift/emulator/world/Trace.java
@@ -18,7 +18,7 @@
         this.lines = lines;
     }
 
-    boolean wants(String one, String other) {
+    public boolean wants(String one, String other) {
         return !of.isEmpty() && (of.equals("all") || of.equals(one) || of.equals(other));
     }
 
@@ -26,7 +26,7 @@
         return !of.isEmpty() && (wants(attempt.id.name(), other) || of.equals("c" + attempt.caller.number));
     }
 
-    void tell(double at, String what) {
+    public void tell(double at, String what) {
         lines.accept(String.format(Locale.ROOT, "%9.4f  %s", at, what));
     }
 
@@ -42,7 +42,7 @@
         }
     }
 
-    void of(double at, String place, String what) {
+    public void of(double at, String place, String what) {
         if (wants(place, "")) {
             tell(at, place + " " + what);
         }
--- a/emulator/src/main/java/embershift/emulator/world/Troubles.java
+++ b/emulator/src/main/java/embershift/emulator/world/Troubles.java
@@ -5,7 +5,6 @@
 import embershift.emulator.day.UnreadableDay;
 import embershift.emulator.day.Whom;
 import embershift.model.HostId;
-import embershift.model.Listing;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -16,20 +15,20 @@
 import java.util.function.Predicate;
 
 /** Lets a day's troubles befall its world, each on the hosts, nodes or clients that its share is drawn from. */
-final class Troubles {
+public final class Troubles {
 
-    private final World world;
+    private final Stage world;
     private final Day day;
     private final Dice dice;
     private int begun;
 
-    Troubles(World world, Day day, Dice dice) {
+    public Troubles(Stage world, Day day, Dice dice) {
         this.world = world;
         this.day = day;
         this.dice = dice;
     }
 
-    void plan() {
+    public void plan() {
         for (Trouble trouble : day.trouble()) {
             Whom whom = read(trouble.whom());
             // Whom it befalls is drawn once: what comes again comes to the same.
@@ -96,10 +95,10 @@
         }
         Whom whom = read(trouble.peer());
         return switch (whom.sort()) {
-            case "roster" -> place -> place instanceof Roster;
+            case "roster" -> place -> place.sort == Place.Sort.ROSTER;
             case "nodes" -> {
                 List<Integer> nodes = share(nodes(whom), whom.share());
-                yield place -> place instanceof NodeShell node && nodes.contains(node.number);
+                yield place -> place.sort == Place.Sort.NODE && nodes.contains(place.number);
             }
             default -> {
                 List<Host> hosts = share(world.hosts().stream().filter(host -> suits(whom, host)).toList(),
@@ -111,11 +110,11 @@
 
     private void begin(Trouble trouble, Whom whom, List<Host> hosts, List<Integer> nodes, Predicate<Place> peers) {
         double lasts = trouble.lasts();
-        world.trace().of(world.now(), "troubles", trouble.what().written() + " " + trouble.whom());
+        world.trace().of(world.agenda().now(), "troubles", trouble.what().written() + " " + trouble.whom());
         switch (trouble.what()) {
             case CRASH -> {
                 hosts.forEach(host -> crash(host, lasts));
-                nodes.forEach(node -> kill(node, lasts));
+                nodes.forEach(node -> world.crashNode(node, lasts));
             }
             case VANISH -> hosts.forEach(host -> {
                 world.stopHost(host, true);
@@ -135,21 +134,20 @@
             case CUT, FLAP -> {
                 Predicate<Place> inside = whom.sort().equals("hosts")
                         ? place -> place instanceof Host host && hosts.contains(host)
-                        : place -> place instanceof NodeShell node && nodes.contains(node.number);
-                world.network().cut(inside, place -> !inside.test(place) && peers.test(place), trouble.direction(),
-                        lasts, world::waysChanged);
+                        : place -> place.sort == Place.Sort.NODE && nodes.contains(place.number);
+                world.cut(inside, place -> !inside.test(place) && peers.test(place), trouble.direction(), lasts);
             }
             case RESTART -> restart(trouble, nodes);
-            case PAUSE -> nodes.forEach(node -> world.nodes()[node].pause(world.now() + lasts));
+            case PAUSE -> nodes.forEach(node -> world.pauseNode(node, lasts));
             case DROP -> drop(trouble, whom);
             case TRAFFIC -> {
-                world.traffic(trouble.factor());
-                world.agenda().in(lasts, () -> world.traffic(1 / trouble.factor()));
+                world.crowd().traffic(trouble.factor());
+                world.agenda().in(lasts, () -> world.crowd().traffic(1 / trouble.factor()));
             }
             case COSTLY -> {
                 int number = begun++;
-                world.costly(number, new double[] {profile(whom), trouble.part(), trouble.factor()});
-                world.agenda().in(lasts, () -> world.costly(number, null));
+                world.crowd().costly(number, new double[] {profile(whom), trouble.part(), trouble.factor()});
+                world.agenda().in(lasts, () -> world.crowd().costly(number, null));
             }
             case STORE_SLOW -> {
                 world.storeSlower(trouble.factor());
@@ -158,15 +156,15 @@
             case ROSTER_AWAY -> rosterAway(lasts);
             case ROSTER_OLD -> {
                 rosterAway(lasts);
-                double end = world.now() + lasts;
-                world.agenda().at(end - 1e-6, () -> world.roster().older(lasts + trouble.factor(),
+                double end = world.agenda().now() + lasts;
+                world.agenda().at(end - 1e-6, () -> world.rosterOlder(lasts + trouble.factor(),
                         end + trouble.factor()));
             }
             case ROSTER_SHRINKS -> {
                 Set<HostId> left = new LinkedHashSet<>();
                 share(world.hosts(), trouble.part()).forEach(host -> left.add(host.address()));
-                world.roster().leaveOut(left, true);
-                world.agenda().in(lasts, () -> world.roster().leaveOut(left, false));
+                world.rosterLeavesOut(left, true);
+                world.agenda().in(lasts, () -> world.rosterLeavesOut(left, false));
             }
             default -> throw new IllegalStateException(trouble.what().written());
         }
@@ -187,8 +185,8 @@
     }
 
     private void rosterAway(double lasts) {
-        world.roster().away(true);
-        world.agenda().in(lasts, () -> world.roster().away(false));
+        world.rosterAway(true);
+        world.agenda().in(lasts, () -> world.rosterAway(false));
     }
 
     private void crash(Host host, double lasts) {
@@ -198,15 +196,6 @@
         }
     }
 
-    private void kill(int number, double lasts) {
-        NodeShell node = world.nodes()[number];
-        if (node.runs()) {
-            List<Listing> known = node.known();
-            world.killNode(node, false);
-            world.agenda().in(lasts + dice.within(day.node().starts()), () -> world.startNode(number, known));
-        }
-    }
-
     /** In waves of {@code part} of them, evenly over the time; told to stop first, where that is polite. */
     private void restart(Trouble trouble, List<Integer> nodes) {
         int wave = (int) Math.max(1, Math.round(trouble.part() * nodes.size()));
@@ -214,23 +203,11 @@
         for (int i = 0; i < nodes.size(); i++) {
             int number = nodes.get(i);
             world.agenda().in(trouble.lasts() * (i / wave) / waves, () -> {
-                NodeShell node = world.nodes()[number];
-                if (!node.runs() || node.leaving()) {
-                    return;
-                }
-                if (!trouble.politely()) {
-                    kill(number, 0);
-                    return;
+                if (trouble.politely()) {
+                    world.restartNode(number);
+                } else {
+                    world.crashNode(number, 0);
                 }
-                node.leave();
-                world.agenda().in(dice.within(day.node().frontLag()), () -> world.front().takeOut(node));
-                world.agenda().in(day.node().leaves(), () -> {
-                    if (node.runs()) {
-                        List<Listing> known = node.known();
-                        world.killNode(node, true);
-                        world.agenda().in(dice.within(day.node().starts()), () -> world.startNode(number, known));
-                    }
-                });
             });
         }
     }
--- a/emulator/src/main/java/embershift/emulator/world/World.java
+++ b/emulator/src/main/java/embershift/emulator/world/World.java
@@ -1,8 +1,10 @@
 package embershift.emulator.world;
 
 import embershift.emulator.day.Day;
+import embershift.emulator.day.Trouble.Direction;
 import embershift.model.Deployment;
 import embershift.model.HostId;
+import embershift.model.Listing;
 import embershift.model.ParticipantId;
 import embershift.model.ProfileId;
 import embershift.model.SetupEnd;
@@ -17,15 +19,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** One day: makes the fleet, lets clients come and troubles befall it, and counts what became of it. */
-public final class World implements Module.Truth {
+public final class World implements Module.Truth, Stage {
 
     /** Seconds between two looks at each host: what is well served is known as finely as that. */
     private static final double LOOK = 0.1;
-    /** Seconds between two lines of a client, and the part of them within which a silence is met. */
+    /** Seconds between two lines of a client. */
     private static final double LINES = 2;
-    private static final double EVEN = 0.5;
 
     private final Day day;
     private final Agenda agenda = new Agenda();
@@ -53,18 +55,11 @@
     private final double[] wasTaking;
     private final List<double[]> loads = new ArrayList<>();
 
-    private final Dice arrivals;
-    private final Dice choices;
+    private final Crowd crowd;
     private final Dice patiences;
     private final Dice setupLuck;
     private final Dice nodeLuck;
     private final Dice loadLuck;
-    private double rate;
-    private double trafficFactor = 1;
-    private int trafficPlan;
-    private final Map<Integer, double[]> costly = new LinkedHashMap<>();
-    private int callers;
-    private int groups;
     private final Histogram opening = new Histogram(1, 600_000_000L, 3);
     private long nanos;
     private long happened;
@@ -75,8 +70,6 @@
         this.witness = witness;
         this.trace = trace;
         this.service = new Service(day);
-        this.arrivals = new Dice(seed, "arrivals");
-        this.choices = new Dice(seed, "choices");
         this.patiences = new Dice(seed, "callers");
         this.setupLuck = new Dice(seed, "setups");
         this.nodeLuck = new Dice(seed, "nodes");
@@ -85,20 +78,12 @@
         List<String> zones = day.fleet().zones();
         this.roster = new Roster(day.roster(), zones.get(0), agenda, network, new Dice(seed, "roster"), witness);
         this.front = new Front(zones, new Dice(seed, "front"));
-        makeHosts(new Dice(seed, "fleet"), seed);
+        hosts.addAll(Host.fleet(day, seed, agenda));
+        hosts.forEach(host -> byAddress.put(host.address(), host));
         day.profile().forEach(profile -> profileIds.add(new ProfileId(profile.name())));
         day.participant().forEach(participant -> participantIds.add(new ParticipantId(participant.name())));
-        double warm = hosts.stream().mapToDouble(Host::nominal).sum();
-        double meanLife = day.profile().stream().mapToDouble(row -> row.share() * row.life()).sum()
-                * day.traffic().life();
-        double meanWork = day.profile().stream().mapToDouble(row -> row.share() * row.load() * row.life()).sum()
-                / day.profile().stream().mapToDouble(row -> row.share() * row.life()).sum()
-                / day.traffic().perCore();
-        // Little's law: so many come a second that those that stand make the wanted load.
-        this.rate = day.traffic().load() * warm / meanWork / meanLife;
-        double standing = rate * meanLife;
-        this.groups = (int) Math.max(1, Math.round(standing / day.traffic().groupSize()));
-        this.storeRate = Math.max(1, rate * day.store().room());
+        this.crowd = new Crowd(day, seed, agenda, hosts);
+        this.storeRate = Math.max(1, crowd.rate() * day.store().room());
         this.store = new Backlog(agenda, Double.POSITIVE_INFINITY);
         this.store.rates(0, storeRate);
         this.nodes = new NodeShell[day.fleet().nodes()];
@@ -110,31 +95,14 @@
             startNode(i, roster.present());
         }
         if (day.traffic().standing()) {
-            makeStanding((int) Math.round(standing), meanLife);
+            makeStanding();
         }
         hosts.forEach(this::look);
         sampleLoads();
-        planArrival();
+        crowd.begin(this::begin);
         new Troubles(this, day, new Dice(seed, "troubles")).plan();
     }
 
-    private void makeHosts(Dice dice, long seed) {
-        List<String> zones = day.fleet().zones();
-        int many = day.fleet().hosts();
-        double share = 0;
-        int kind = 0;
-        for (int i = 0; i < many; i++) {
-            while (kind < day.kind().size() - 1 && (i + EVEN) / many > share + day.kind().get(kind).share()) {
-                share += day.kind().get(kind++).share();
-            }
-            Day.Kind row = day.kind().get(kind);
-            Host host = new Host(day, i, row, dice.within(row.speed()), zones.get(i % zones.size()), agenda,
-                    new Dice(seed, "host" + i));
-            hosts.add(host);
-            byAddress.put(host.address(), host);
-        }
-    }
-
     /** Lets the day pass and returns what became of it. */
     public Outcome run() {
         long before = System.nanoTime();
@@ -145,6 +113,7 @@
         for (NodeShell node : nodes) {
             inModule += node == null ? 0 : node.nanos();
         }
+        counts.callers = crowd.callers();
         counts.rosterCalls = roster.calls;
         counts.rosterEntries = roster.entries;
         return new Outcome(day, service, counts, opening, loads, happened, nanos, inModule + deadNanos);
@@ -158,7 +127,8 @@
         return agenda.now();
     }
 
-    Agenda agenda() {
+    @Override
+    public Agenda agenda() {
         return agenda;
     }
 
@@ -182,18 +152,16 @@
         return witness;
     }
 
-    Trace trace() {
+    @Override
+    public Trace trace() {
         return trace;
     }
 
-    List<Host> hosts() {
+    @Override
+    public List<Host> hosts() {
         return hosts;
     }
 
-    NodeShell[] nodes() {
-        return nodes;
-    }
-
     Host host(HostId address) {
         return byAddress.get(address);
     }
@@ -228,7 +196,7 @@
     }
 
     /** Starts a node's program; its clients come once the front has had its answer. */
-    void startNode(int number, List<embershift.model.Listing> remembered) {
+    void startNode(int number, List<Listing> remembered) {
         String zone = day.fleet().zones().get(number % day.fleet().zones().size());
         NodeShell node = new NodeShell(this, number, zone, maker.make(deployment(nodeLuck.number(), zone), this));
         nodes[number] = node;
@@ -279,14 +247,6 @@
         retry(attempt, 0);
     }
 
-    Front front() {
-        return front;
-    }
-
-    Dice nodeLuck() {
-        return nodeLuck;
-    }
-
     void tellNode(NodeShell from, int to, byte[] content) {
         NodeShell node = to >= 0 && to < nodes.length ? nodes[to] : null;
         if (node != null) {
@@ -300,60 +260,6 @@
 
     // ---- Callers ----
 
-    void traffic(double factor) {
-        trafficFactor *= factor;
-        trafficPlan++;
-        planArrival();
-    }
-
-    void costly(int trouble, double[] what) {
-        if (what == null) {
-            costly.remove(trouble);
-        } else {
-            costly.put(trouble, what);
-        }
-    }
-
-    private void planArrival() {
-        int plan = trafficPlan;
-        agenda.in(arrivals.exponential(1 / (rate * trafficFactor)), () -> {
-            if (plan == trafficPlan) {
-                begin(caller(now(), day.traffic().life()));
-                planArrival();
-            }
-        });
-    }
-
-    private int drawn(double part, List<Double> shares) {
-        for (int i = 0; i < shares.size() - 1; i++) {
-            part -= shares.get(i);
-            if (part < 0) {
-                return i;
-            }
-        }
-        return shares.size() - 1;
-    }
-
-    private Caller caller(double begins, double life) {
-        int profile = drawn(choices.part(), day.profile().stream().map(Day.Profile::share).toList());
-        int participant = drawn(choices.part(), day.participant().stream().map(Day.Participant::part).toList());
-        Day.Profile row = day.profile().get(profile);
-        List<String> zones = day.fleet().zones();
-        String zone = zones.get(choices.below(Math.min(zones.size(), nodes.length)));
-        double lives = life * row.life() * choices.spread(day.traffic().lifeSpread());
-        double load = row.load() / day.traffic().perCore() * choices.spread(day.traffic().loadSpread());
-        int group = choices.below(groups);
-        double cost = 1;
-        double luck = choices.part();
-        for (double[] trouble : costly.values()) {
-            if ((trouble[0] < 0 || trouble[0] == profile) && luck < trouble[1]) {
-                cost = Math.max(cost, trouble[2]);
-            }
-        }
-        counts.callers++;
-        return new Caller(callers++, profile, participant, zone, group, begins, begins + lives, load * cost, cost);
-    }
-
     private void begin(Caller caller) {
         service.asks(caller.profile, caller.participant, caller.begins, caller.ends);
         caller.retriesLeft = day.callers().retries();
@@ -452,7 +358,8 @@
     }
 
     /** The client drops its connection and comes again within so long. */
-    void drop(Caller caller, double within) {
+    @Override
+    public void drop(Caller caller, double within) {
         Attempt attempt = caller.attempt;
         if (attempt != null && attempt.up() && !attempt.left && !caller.over) {
             settle(attempt);
@@ -465,7 +372,8 @@
     }
 
     /** Callers whose tunnels stand now, in the order of the hosts. */
-    List<Caller> standing() {
+    @Override
+    public List<Caller> standing() {
         List<Caller> standing = new ArrayList<>();
         for (Host host : hosts) {
             host.standing().forEach(attempt -> standing.add(attempt.caller));
@@ -578,7 +486,8 @@
         });
     }
 
-    void storeSlower(double factor) {
+    @Override
+    public void storeSlower(double factor) {
         storeSlow *= factor;
         store.rates(0, storeRate / storeSlow);
     }
@@ -828,7 +737,8 @@
     }
 
     /** A host's program ends, or its machine vanishes. */
-    void stopHost(Host host, boolean silent) {
+    @Override
+    public void stopHost(Host host, boolean silent) {
         if (!host.runs()) {
             return;
         }
@@ -881,7 +791,8 @@
     }
 
     /** A program starts there, cold; what still hangs on the old one breaks at its next line. */
-    void startHost(Host host, boolean moved) {
+    @Override
+    public void startHost(Host host, boolean moved) {
         if (host.runs()) {
             return;
         }
@@ -899,7 +810,8 @@
     }
 
     /** It takes nothing new, lets its tunnels go as the day has it, and stops. */
-    void drainHost(Host host, double lasts) {
+    @Override
+    public void drainHost(Host host, double lasts) {
         if (host.state() != Host.State.RUNNING) {
             return;
         }
@@ -940,25 +852,10 @@
 
     // ---- The day's beginning ----
 
-    private void makeStanding(int many, double meanLife) {
-        List<Host> homes = new ArrayList<>();
-        double[] filled = new double[hosts.size()];
-        double each = day.profile().stream().mapToDouble(row -> row.share() * row.load()).sum();
-        for (int g = 0; g < groups; g++) {
-            // The better of two hosts, as a balanced past would have left it.
-            Host one = hosts.get(choices.below(hosts.size()));
-            Host other = hosts.get(choices.below(hosts.size()));
-            Host home = filled[one.number] / one.nominal() <= filled[other.number] / other.nominal() ? one : other;
-            filled[home.number] += day.traffic().groupSize() * each + day.host().groupCost();
-            homes.add(home);
-        }
-        for (int i = 0; i < many; i++) {
-            // What stands at a moment is what has an exponential part of its life left, by its mean.
-            Caller caller = caller(0, 0);
-            double left = arrivals.exponential(day.traffic().life() * day.profile().get(caller.profile).life());
-            Caller standing = new Caller(caller.number, caller.profile, caller.participant, caller.zone, caller.group,
-                    0, left, caller.load, caller.cost);
-            service.asks(standing.profile, standing.participant, 0, left);
+    private void makeStanding() {
+        List<Host> homes = crowd.homes();
+        for (Caller standing : crowd.standing()) {
+            service.asks(standing.profile, standing.participant, 0, standing.ends);
             standing.retriesLeft = day.callers().retries();
             Attempt attempt = new Attempt(new TunnelId("t" + standing.number + "." + standing.tries++), standing, 0);
             standing.attempt = attempt;
@@ -976,6 +873,65 @@
         }
     }
 
+    // ---- What troubles do to it, beside what is above ----
+
+    @Override
+    public Crowd crowd() {
+        return crowd;
+    }
+
+    @Override
+    public void cut(Predicate<Place> inside, Predicate<Place> outside, Direction direction, double lasts) {
+        network.cut(inside, outside, direction, lasts, this::waysChanged);
+    }
+
+    @Override
+    public void crashNode(int number, double lasts) {
+        NodeShell node = nodes[number];
+        if (node.runs()) {
+            List<Listing> known = node.known();
+            killNode(node, false);
+            agenda.in(lasts + nodeLuck.within(day.node().starts()), () -> startNode(number, known));
+        }
+    }
+
+    @Override
+    public void restartNode(int number) {
+        NodeShell node = nodes[number];
+        if (!node.runs() || node.leaving()) {
+            return;
+        }
+        node.leave();
+        agenda.in(nodeLuck.within(day.node().frontLag()), () -> front.takeOut(node));
+        agenda.in(day.node().leaves(), () -> {
+            if (node.runs()) {
+                List<Listing> known = node.known();
+                killNode(node, true);
+                agenda.in(nodeLuck.within(day.node().starts()), () -> startNode(number, known));
+            }
+        });
+    }
+
+    @Override
+    public void pauseNode(int number, double lasts) {
+        nodes[number].pause(now() + lasts);
+    }
+
+    @Override
+    public void rosterAway(boolean on) {
+        roster.away(on);
+    }
+
+    @Override
+    public void rosterOlder(double ago, double until) {
+        roster.older(ago, until);
+    }
+
+    @Override
+    public void rosterLeavesOut(Set<HostId> left, boolean on) {
+        roster.leaveOut(left, on);
+    }
+
     // ---- What the baseline that sees everything sees ----
 
     @Override
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -103,7 +103,7 @@
 
     /** Listens for clients. */
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
-        return loop.listen(address, strangers::mayAccept, this::accepted);
+        return loop.listen(address, strangers::mayAccept, this::accepted).address();
     }
 
     /** Goes by a new configuration, as far as that can change while tunnels stand. */
--- a/node/src/main/java/embershift/transport/Loop.java
+++ b/node/src/main/java/embershift/transport/Loop.java
@@ -2,6 +2,7 @@
 
 import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -170,7 +171,7 @@
      * {@code room} connections wait at the system: an accept that fails for want of descriptors would have
      * the library look away for up to half a minute.
      */
-    public InetSocketAddress listen(InetSocketAddress address, BooleanSupplier room, Consumer<Link> accepted)
+    public Listening listen(InetSocketAddress address, BooleanSupplier room, Consumer<Link> accepted)
             throws IOException {
         ChannelListener<AcceptingChannel<StreamConnection>> listener = server -> {
             try {
@@ -202,7 +203,7 @@
             throw named(address, e);
         }
         server.resumeAccepts();
-        return server.getLocalAddress(InetSocketAddress.class);
+        return new Listening(server.getLocalAddress(InetSocketAddress.class), server);
     }
 
     /** Starts to connect; the link tells its events how that went, never before this call returns. */
@@ -241,6 +242,14 @@
         worker.shutdownNow();
     }
 
+    /** Where connections come in, until it is closed; then they are refused. */
+    public record Listening(InetSocketAddress address, AcceptingChannel<StreamConnection> server) {
+
+        public void close() {
+            IoUtils.safeClose(server);
+        }
+    }
+
     /** A timer that may be taken back. */
     public interface Timer {
         void cancel();
--- a/node/src/test/java/embershift/transport/LoopTest.java
+++ b/node/src/test/java/embershift/transport/LoopTest.java
@@ -55,7 +55,7 @@
                     public void broken() {
                         seen.add("broken");
                     }
-                }));
+                })).address();
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
             socket.getOutputStream().write(1);
             assertEquals(next(), "received 1");
