--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -762,8 +762,9 @@
     private void doubt(Host host, double load) {
         boolean rosterAway = rosterCallAt < Double.POSITIVE_INFINITY
                 && host.warming.beganBefore(rosterLostAt);
+        host.load = Double.NaN;  // what it was before is no measure
         survey();
-        if ((host.away || rosterAway) && !host.cold() && heard >= FEW / 2 && load < usualLoad / FEW) {
+        if ((host.away || rosterAway) && !host.cold() && load < Math.min(usualLoad, ROOMY) / 2) {
             host.warming.begin(now, now);
             host.back = true;
         }
