A fleet that is new as a whole gets no more than the hosts that were before it

With no warm host left, all that had ended counted as what one host can take. Change: with no warm host, what ended counts for as many hosts as there are.

--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -657,7 +657,8 @@
         double room = ROOM_PROMISED * sumOfRoom / Math.max(1, heard) * active / deployment.nodes();
         double inflow = arrived.rate(now) * PERIOD * usualLoadOfOne;
         admitted = !known || fewHeard || room >= inflow ? 1 : room / inflow;
-        warmHostCanTake = completed.rate(now) / Math.max(1, warm) / load;
+        // With all hosts new at once, what ended did so on as many others.
+        warmHostCanTake = completed.rate(now) / Math.max(1, warm > 0 ? warm : active) / load;
     }
 
     /** Whether the node has started among others: its own tunnels are no measure of all that there are. */
--- a/emulator/src/test/java/embershift/emulator/HardCasesTest.java
+++ b/emulator/src/test/java/embershift/emulator/HardCasesTest.java
@@ -74,6 +74,13 @@
         assertTrue(each[29] > each[8], "and warm up: " + each[29]);
     }
 
+    /** Found by a hunt: all hosts are gone for a moment and return under addresses that no node has seen. */
+    @Test
+    public void allHostsReturnColdUnderOtherAddresses() {
+        sound(Days.day("[fleet]", "nodes = 1", "hosts = 4", "[traffic]", "load = 0.7",
+                Days.trouble("vanish", "hosts", 15, 0.85, "other-address = true")));
+    }
+
     @Test
     public void aNodesClockStandsStillForASecond() {
         Day day = Days.day(FLEET, Days.trouble("pause", "nodes share 0.5", 5, 1, "every = 4.0", "times = 5"));
