Cuts, the session store and the hosts' loads stand once for both worlds

Need: virtual time and sockets each had their own record of cuts, arithmetic of the session store and sampling of loads; a change of one would have set the two apart unseen. Change: Cuts, Store and Host.loads serve both.

--- a/emulator/src/main/java/embershift/emulator/day/Day.java
+++ b/emulator/src/main/java/embershift/emulator/day/Day.java
@@ -73,16 +73,4 @@
 
     public record Score(double beyondShare) {
     }
-
-    /** The same day for a fleet of another size; its traffic follows the hosts, as it is a share of them. */
-    public Day sized(int nodes, int hosts) {
-        return new Day(name, lasts, new Fleet(nodes, hosts, fleet.cell, fleet.zones), kind, host, traffic, profile,
-                participant, callers, store, roster, network, front, node, rules, limits, score, trouble);
-    }
-
-    /** The same day with other troubles. */
-    public Day with(List<Trouble> troubles) {
-        return new Day(name, lasts, fleet, kind, host, traffic, profile, participant, callers, store, roster,
-                network, front, node, rules, limits, score, List.copyOf(troubles));
-    }
 }
--- a/emulator/src/main/java/embershift/emulator/day/Trouble.java
+++ b/emulator/src/main/java/embershift/emulator/day/Trouble.java
@@ -44,13 +44,4 @@
 
     /** Which way a cut holds messages back, seen from those it befalls. */
     public enum Direction { IN, OUT, BOTH }
-
-    /** The same trouble, changed in time and strength: what a hunt draws and what shrinking tries. */
-    public Trouble with(double at, double lasts, int times, double factor, double part) {
-        return new Trouble(what, whom, peer, direction, at, lasts, every, times, factor, part, otherAddress, politely);
-    }
-
-    public Trouble aimedAt(String whom) {
-        return new Trouble(what, whom, peer, direction, at, lasts, every, times, factor, part, otherAddress, politely);
-    }
 }
--- a/emulator/src/main/java/embershift/emulator/sockets/HostStand.java
+++ b/emulator/src/main/java/embershift/emulator/sockets/HostStand.java
@@ -202,11 +202,11 @@
         private void callStore(boolean half, double work) {
             if (closed) {
                 waste(work);
-            } else if (day.storeWait() > day.day().store().patience()) {
+            } else if (day.store().full()) {
                 waste(work);
                 refuse("ERR");
             } else {
-                day.store().job(1, () -> {
+                day.store().call(() -> {
                     if (launch != host.launches()) {
                         return;
                     }
--- a/emulator/src/main/java/embershift/emulator/sockets/SocketDay.java
+++ b/emulator/src/main/java/embershift/emulator/sockets/SocketDay.java
@@ -7,16 +7,17 @@
 import embershift.emulator.day.Trouble.Direction;
 import embershift.emulator.world.Agenda;
 import embershift.emulator.world.Attempt;
-import embershift.emulator.world.Backlog;
 import embershift.emulator.world.Caller;
 import embershift.emulator.world.Counts;
 import embershift.emulator.world.Crowd;
+import embershift.emulator.world.Cuts;
 import embershift.emulator.world.Dice;
 import embershift.emulator.world.Host;
 import embershift.emulator.world.Outcome;
 import embershift.emulator.world.Place;
 import embershift.emulator.world.Service;
 import embershift.emulator.world.Stage;
+import embershift.emulator.world.Store;
 import embershift.emulator.world.Trace;
 import embershift.emulator.world.Troubles;
 import embershift.emulator.world.Witness;
@@ -85,9 +86,7 @@
     private final List<HostStand> stands = new ArrayList<>();
     private final List<double[]> loads = new ArrayList<>();
     private final Crowd crowd;
-    private final Backlog store;
-    private final double storeRate;
-    private double storeSlow = 1;
+    private final Store store;
     private final RosterStand roster;
     private final PeerRelay relay;
     private final List<InetSocketAddress> listens = new ArrayList<>();
@@ -100,7 +99,7 @@
     private final List<Integer> front = new ArrayList<>();
     private final Map<String, Attempt> attempts = new HashMap<>();
     private final Map<Caller, ClientStand> standing = new LinkedHashMap<>();
-    private final Set<Cut> cuts = new LinkedHashSet<>();
+    private final Cuts cuts = new Cuts();
     private final Place rosterPlace;
     private final List<String> wrong = new ArrayList<>();
     private final Path folder;
@@ -113,13 +112,6 @@
     private int waitingUps;
     private boolean begun;
 
-    private record Cut(Predicate<Place> inside, Predicate<Place> outside, Direction direction) {
-        boolean holds(Place from, Place to) {
-            return direction != Direction.IN && inside.test(from) && outside.test(to)
-                    || direction != Direction.OUT && inside.test(to) && outside.test(from);
-        }
-    }
-
     /** A node, as one end of a way. */
     private static final class NodePlace extends Place {
         NodePlace(int number, String zone) {
@@ -150,9 +142,7 @@
         this.folder = Files.createTempDirectory("embershift-emulator");
         hosts = Host.fleet(day, seed, agenda);
         crowd = new Crowd(day, seed, agenda, hosts);
-        storeRate = Math.max(1, crowd.rate() * day.store().room());
-        store = new Backlog(agenda, Double.POSITIVE_INFINITY);
-        store.rates(0, storeRate);
+        store = new Store(day.store(), crowd.rate(), agenda);
         int many = day.fleet().nodes();
         nodes = new NodeStand[many];
         downAt = new double[many];
@@ -170,7 +160,7 @@
             stands.add(new HostStand(this, host));
         }
         roster = new RosterStand(this, hosts, new Dice(seed, "roster"));
-        relay = new PeerRelay(this, loop, peerListens, (from, to) -> open(places.get(from), places.get(to))
+        relay = new PeerRelay(this, loop, peerListens, (from, to) -> cuts.open(places.get(from), places.get(to))
                 && luck.part() >= day.network().loss());
     }
 
@@ -277,11 +267,7 @@
     }
 
     private void sample() {
-        double[] row = new double[hosts.size()];
-        for (Host host : hosts) {
-            row[host.number] = host.runs() ? host.demand() / Math.max(1e-9, host.capacity()) : Double.NaN;
-        }
-        loads.add(row);
+        loads.add(Host.loads(hosts));
         agenda.in(1, this::sample);
     }
 
@@ -320,14 +306,10 @@
         return service;
     }
 
-    Backlog store() {
+    Store store() {
         return store;
     }
 
-    double storeWait() {
-        return store.waiting() / (storeRate / storeSlow);
-    }
-
     double luck() {
         return luck.part();
     }
@@ -353,18 +335,9 @@
         wrong.add(what);
     }
 
-    private boolean open(Place from, Place to) {
-        for (Cut cut : cuts) {
-            if (cut.holds(from, to)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /** Whether that node and the roster reach each other. */
     boolean open(int node) {
-        return open(places.get(node), rosterPlace) && open(rosterPlace, places.get(node));
+        return cuts.openBothWays(places.get(node), rosterPlace);
     }
 
     double peerDelay(int from, int to) {
@@ -381,12 +354,12 @@
 
             @Override
             public boolean inOpen() {
-                return open(places.get(node), host);
+                return cuts.open(places.get(node), host);
             }
 
             @Override
             public boolean outOpen() {
-                return open(host, places.get(node));
+                return cuts.open(host, places.get(node));
             }
         };
     }
@@ -636,10 +609,10 @@
 
     @Override
     public void cut(Predicate<Place> inside, Predicate<Place> outside, Direction direction, double lasts) {
-        Cut cut = new Cut(inside, outside, direction);
-        cuts.add(cut);
+        Cuts.Cut cut = new Cuts.Cut(inside, outside, direction);
+        cuts.begin(cut);
         agenda.in(lasts, () -> {
-            cuts.remove(cut);
+            cuts.end(cut);
             stands.forEach(HostStand::wayChanged);
             roster.wayChanged();
         });
@@ -700,8 +673,7 @@
 
     @Override
     public void storeSlower(double factor) {
-        storeSlow *= factor;
-        store.rates(0, storeRate / storeSlow);
+        store.slower(factor);
     }
 
     @Override
--- a/emulator/src/main/java/embershift/emulator/world/Host.java
+++ b/emulator/src/main/java/embershift/emulator/world/Host.java
@@ -89,6 +89,12 @@
         return hosts;
     }
 
+    /** Work asked for over what each can do, by number; not a number for those that are down. */
+    public static double[] loads(List<Host> hosts) {
+        return hosts.stream().mapToDouble(host -> host.runs() ? host.demand() / Math.max(1e-9, host.capacity())
+                : Double.NaN).toArray();
+    }
+
     public HostId address() {
         return address;
     }
--- a/emulator/src/main/java/embershift/emulator/world/Network.java
+++ b/emulator/src/main/java/embershift/emulator/world/Network.java
@@ -18,20 +18,13 @@
     /** Seconds for which a stream's end keeps on sending again what nobody acknowledges. */
     private static final double PERSISTENCE = 15;
 
-    private record Cut(Predicate<Place> inside, Predicate<Place> outside, Direction direction) {
-        boolean holds(Place from, Place to) {
-            return direction != Direction.IN && inside.test(from) && outside.test(to)
-                    || direction != Direction.OUT && inside.test(to) && outside.test(from);
-        }
-    }
-
     private record Held(Place from, Place to, double since, Runnable what) {
     }
 
     private final Day.Network figures;
     private final Agenda agenda;
     private final Dice dice;
-    private final List<Cut> cuts = new ArrayList<>();
+    private final Cuts cuts = new Cuts();
     private final List<Held> held = new ArrayList<>();
 
     Network(Day.Network figures, Agenda agenda, Dice dice) {
@@ -42,16 +35,11 @@
 
     /** Whether what leaves now arrives. */
     boolean open(Place from, Place to) {
-        for (Cut cut : cuts) {
-            if (cut.holds(from, to)) {
-                return false;
-            }
-        }
-        return true;
+        return cuts.open(from, to);
     }
 
     boolean openBothWays(Place one, Place other) {
-        return cuts.isEmpty() || open(one, other) && open(other, one);
+        return cuts.openBothWays(one, other);
     }
 
     /** Seconds one way for a segment of a stream that does arrive. */
@@ -88,11 +76,11 @@
     /** Cuts these off from those for so many seconds; {@code changed} is called when it begins and ends. */
     void cut(Predicate<Place> inside, Predicate<Place> outside, Direction direction, double lasts,
              Runnable changed) {
-        Cut cut = new Cut(inside, outside, direction);
-        cuts.add(cut);
+        Cuts.Cut cut = new Cuts.Cut(inside, outside, direction);
+        cuts.begin(cut);
         changed.run();
         agenda.in(lasts, () -> {
-            cuts.remove(cut);
+            cuts.end(cut);
             changed.run();
             release();
         });
--- a/emulator/src/main/java/embershift/emulator/world/NodeShell.java
+++ b/emulator/src/main/java/embershift/emulator/world/NodeShell.java
@@ -351,7 +351,7 @@
             world.trace().of(world.now(), attempt, attempt.host, name + " moves it off");
             close(attempt.setup);
             ended(attempt.setup, SetupEnd.CANCELLED);
-            world.broken(attempt, false);
+            world.broken(attempt);
         }
     }
 
--- a/emulator/src/main/java/embershift/emulator/world/World.java
+++ b/emulator/src/main/java/embershift/emulator/world/World.java
@@ -39,9 +39,7 @@
     private final Network network;
     private final Roster roster;
     private final Front front;
-    private final Backlog store;
-    private double storeSlow = 1;
-    private final double storeRate;
+    private final Store store;
 
     private final List<Host> hosts = new ArrayList<>();
     private final Map<HostId, Host> byAddress = new LinkedHashMap<>();
@@ -61,8 +59,8 @@
     private final Dice nodeLuck;
     private final Dice loadLuck;
     private final Histogram opening = new Histogram(1, 600_000_000L, 3);
-    private long nanos;
-    private long happened;
+    /** What modules of nodes took that have died since. */
+    private long deadNanos;
 
     public World(Day day, long seed, Module.Maker maker, Witness witness, Trace trace) {
         this.day = day;
@@ -83,9 +81,7 @@
         day.profile().forEach(profile -> profileIds.add(new ProfileId(profile.name())));
         day.participant().forEach(participant -> participantIds.add(new ParticipantId(participant.name())));
         this.crowd = new Crowd(day, seed, agenda, hosts);
-        this.storeRate = Math.max(1, crowd.rate() * day.store().room());
-        this.store = new Backlog(agenda, Double.POSITIVE_INFINITY);
-        this.store.rates(0, storeRate);
+        this.store = new Store(day.store(), crowd.rate(), agenda);
         this.nodes = new NodeShell[day.fleet().nodes()];
         this.passing = new int[hosts.size()][day.profile().size()][day.participant().size()];
         this.lookedAt = new double[hosts.size()];
@@ -106,9 +102,9 @@
     /** Lets the day pass and returns what became of it. */
     public Outcome run() {
         long before = System.nanoTime();
-        happened = agenda.runUntil(day.lasts());
+        long happened = agenda.runUntil(day.lasts());
         hosts.forEach(this::account);
-        nanos = System.nanoTime() - before;
+        long nanos = System.nanoTime() - before;
         long inModule = 0;
         for (NodeShell node : nodes) {
             inModule += node == null ? 0 : node.nanos();
@@ -119,8 +115,6 @@
         return new Outcome(day, service, counts, opening, loads, happened, nanos, inModule + deadNanos);
     }
 
-    private long deadNanos;
-
     // ---- What its parts ask of it ----
 
     double now() {
@@ -232,7 +226,7 @@
                 attempt.left = true;
                 if (attempt.up()) {
                     counts.breaks++;
-                    broken(attempt, true);
+                    broken(attempt);
                 } else if (!attempt.answered) {
                     attempt.answered = true;
                     agenda.in(network.nearDelay(), () -> lostWithNode(attempt));
@@ -348,7 +342,7 @@
     }
 
     /** A standing tunnel has broken or been moved; its client comes again soon. */
-    void broken(Attempt attempt, boolean byNode) {
+    void broken(Attempt attempt) {
         Caller caller = attempt.caller;
         settle(attempt);
         if (caller.attempt == attempt && !caller.over) {
@@ -463,13 +457,13 @@
             counts.wastedWork += work;
             return;
         }
-        if (store.waiting() / (storeRate / storeSlow) > day.store().patience()) {
+        if (store.full()) {
             host.forget();
             counts.wastedWork += work;
             reply(setup, SetupEnd.ERROR);
             return;
         }
-        store.job(1, () -> {
+        store.call(() -> {
             if (launch != host.launches()) {
                 return;
             }
@@ -488,8 +482,7 @@
 
     @Override
     public void storeSlower(double factor) {
-        storeSlow *= factor;
-        store.rates(0, storeRate / storeSlow);
+        store.slower(factor);
     }
 
     private void up(Setup setup) {
@@ -689,11 +682,7 @@
     }
 
     private void sampleLoads() {
-        double[] row = new double[hosts.size()];
-        for (Host host : hosts) {
-            row[host.number] = host.runs() ? host.demand() / Math.max(1e-9, host.capacity()) : Double.NaN;
-        }
-        loads.add(row);
+        loads.add(Host.loads(hosts));
         agenda.in(1, this::sampleLoads);
     }
 
@@ -782,7 +771,7 @@
                     attempt.left = true;
                     counts.breaks++;
                     node.ended(setup, SetupEnd.BROKEN);
-                    broken(attempt, false);
+                    broken(attempt);
                 } else {
                     node.ended(setup, SetupEnd.BROKEN);
                 }
@@ -844,7 +833,7 @@
                     attempt.left = true;
                     counts.breaks++;
                     attempt.node.ended(setup, SetupEnd.CANCELLED);
-                    broken(attempt, false);
+                    broken(attempt);
                 }
             });
         }
@@ -953,7 +942,7 @@
 
     @Override
     public double storeWait() {
-        return store.waiting() / (storeRate / storeSlow);
+        return store.waits();
     }
 
     @Override
--- a/emulator/src/test/java/embershift/emulator/Days.java
+++ b/emulator/src/test/java/embershift/emulator/Days.java
@@ -21,7 +21,12 @@
 
     /** A small fleet for 30 seconds, with these lines more. */
     static Day day(String... lines) {
-        String text = "name = \"test\"\nlasts = 30.0\n" + String.join("\n", lines) + "\n";
+        return lasting(30, lines);
+    }
+
+    /** The same for as many seconds. */
+    static Day lasting(double seconds, String... lines) {
+        String text = "name = \"test\"\nlasts = " + seconds + "\n" + String.join("\n", lines) + "\n";
         try {
             return new DayReader().read(text, "test.toml", Map.of());
         } catch (UnreadableDay e) {
--- a/emulator/src/test/java/embershift/emulator/SocketDayTest.java
+++ b/emulator/src/test/java/embershift/emulator/SocketDayTest.java
@@ -18,15 +18,12 @@
 public class SocketDayTest {
 
     private static Day day(String... lines) {
-        return Days.day("[fleet]\nnodes = 2\nhosts = 4\n[traffic]\nload = 0.4\nper-core = 10.0\nlife = 8.0\n"
+        return Days.lasting(6, "[fleet]\nnodes = 2\nhosts = 4\n[traffic]\nload = 0.4\nper-core = 10.0\nlife = 8.0\n"
                 + String.join("\n", lines));
     }
 
     private static Result played(Day day, Nodes nodes) throws IOException {
-        Play.SocketPlay play = Play.of(new Day(day.name(), 6, day.fleet(), day.kind(), day.host(), day.traffic(),
-                day.profile(), day.participant(), day.callers(), day.store(), day.roster(), day.network(), day.front(),
-                day.node(), day.rules(), day.limits(), day.score(), day.trouble()), "embershift", 4)
-                .onSockets(nodes, Trace.NONE);
+        Play.SocketPlay play = Play.of(day, "embershift", 4).onSockets(nodes, Trace.NONE);
         assertEquals(play.troubles(), List.of());
         assertEquals(play.result().breaches().toString(), "[]");
         return play.result();
