Operators' address: ready and telemetry, with one set of counters

Change: HttpRequest beside HttpReply on a common HttpMessage; package operations with Desk (calls to replies, no sockets) and Callers (the listener: 24 without a whole call at most, 5 s each, the oldest gives way); 32 descriptors that neither tunnels nor strangers take. Tally counts opened, declined and failed for each profile where the answer is handed over, and setups where their last byte is; the module says how many listed hosts it avoids. First giving way to who had said nothing yet let a crowd that had begun push out each sound newcomer, seen in the test: now the oldest gives way, whatever it has said.

--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -552,11 +552,19 @@
 
     /** Whether rules, health and list let this host take the tunnel now. */
     private boolean mayTake(Host host, Tunnel tunnel) {
-        return host.takesNew() && dropsRepeats(tunnel, host)
-                && (noneAnswers || !host.silent()) && (doubtful || !host.shunned())
+        return used(host) && dropsRepeats(tunnel, host)
                 && (!host.cold() || host.warming.mayTake(now, warmHostCanTake));
     }
 
+    private boolean used(Host host) {
+        return host.takesNew() && (noneAnswers || !host.silent()) && (doubtful || !host.shunned());
+    }
+
+    /** Hosts on the list; {@code avoided}: those that get nothing new as of the last round. */
+    public int listed(boolean avoided) {
+        return (int) roll.stream().filter(host -> host.here() && !(avoided && used(host))).count();
+    }
+
     /**
      * Each host that holds any of a group pays for it, and nodes don't know what others hold. So numbers
      * are drawn for the group, not the tunnel, until they have fallen on hosts' intervals of the weights:
@@ -710,7 +718,7 @@
             return next;
         }
         for (Host host : roll) {
-            if (host.listed && host.state != Listing.State.GONE && !host.probing) {
+            if (host.here() && !host.probing) {
                 if (now >= host.nextProbe) {
                     ask(host, false);
                     host.nextProbe = now + round * (0.9 + 0.2 * chance.next());
@@ -920,6 +928,10 @@
             failuresInRow = 0;
         }
 
+        boolean here() {
+            return listed && state != Listing.State.GONE;
+        }
+
         boolean takesNew() {
             return listed && state == Listing.State.READY;
         }
--- a/emulator/src/main/java/embershift/emulator/sockets/NodeStand.java
+++ b/emulator/src/main/java/embershift/emulator/sockets/NodeStand.java
@@ -32,7 +32,7 @@
     /** Starts a node in this process. */
     static NodeStand here(String configuration) throws IOException, Unreadable {
         Loop loop = new Loop();
-        NodeConfiguration read = NodeConfiguration.read(configuration);
+        NodeConfiguration read = NodeConfiguration.read(configuration, null);
         java.util.concurrent.CompletableFuture<Router> started = new java.util.concurrent.CompletableFuture<>();
         loop.execute(() -> {
             try {
--- a/emulator/src/test/java/embershift/ArchitectureTest.java
+++ b/emulator/src/test/java/embershift/ArchitectureTest.java
@@ -24,13 +24,17 @@
                 .layer("transport").definedBy("embershift.transport")
                 .layer("protocol").definedBy("embershift.protocol")
                 .layer("routing").definedBy("embershift.routing")
+                .layer("operations").definedBy("embershift.operations")
                 .layer("adapter").definedBy("embershift.adapter")
                 .layer("program").definedBy("embershift.program")
                 .layer("emulator").definedBy("embershift.emulator..")
                 .whereLayer("policy").mayOnlyBeAccessedByLayers("routing", "adapter", "emulator")
-                .whereLayer("transport").mayOnlyBeAccessedByLayers("routing", "program", "emulator")
-                .whereLayer("protocol").mayOnlyBeAccessedByLayers("routing", "adapter", "program", "emulator")
-                .whereLayer("routing").mayOnlyBeAccessedByLayers("program", "emulator")
+                .whereLayer("transport").mayOnlyBeAccessedByLayers("routing", "operations", "program",
+                        "emulator")
+                .whereLayer("protocol").mayOnlyBeAccessedByLayers("routing", "operations", "adapter",
+                        "program", "emulator")
+                .whereLayer("routing").mayOnlyBeAccessedByLayers("operations", "program", "emulator")
+                .whereLayer("operations").mayOnlyBeAccessedByLayers("program")
                 .whereLayer("adapter").mayOnlyBeAccessedByLayers("program")
                 .whereLayer("program").mayOnlyBeAccessedByLayers("emulator")
                 .whereLayer("emulator").mayNotBeAccessedByAnyLayer()
@@ -58,7 +62,7 @@
     @Test
     public void thePlatformsNodeHoldsOnlyItsTwoLibraries() {
         classes().that().resideInAnyPackage("embershift.transport", "embershift.protocol", "embershift.routing",
-                        "embershift.adapter", "embershift.program")
+                        "embershift.operations", "embershift.adapter", "embershift.program")
                 .should().onlyDependOnClassesThat().resideInAnyPackage("embershift..", "java..", "sun.misc",
                         "org.xnio..", "com.beust.jcommander..")
                 .check(PROGRAM);
--- /dev/null
+++ b/node/src/main/java/embershift/operations/Callers.java
@@ -0,0 +1,140 @@
+package embershift.operations;
+
+import embershift.protocol.HttpAnswer;
+import embershift.protocol.HttpRequest;
+import embershift.routing.Router;
+import embershift.routing.Tally;
+import embershift.transport.Link;
+import embershift.transport.Loop;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * Listens for operators: one call to a connection. Who holds a connection without a whole call keeps nobody out: their
+ * number and time are bounded, and the oldest of them gives way to the next that comes.
+ */
+public final class Callers {
+
+    /** Callers without a whole call at one time; the other descriptors are for answers on their way out. */
+    private static final int MOST = Router.OPERATORS * 3 / 4;
+    /** Seconds from the accept within which the whole call must have come. */
+    private static final double PATIENCE = 5;
+
+    private final Loop loop;
+    private final Desk desk;
+    private final Tally tally;
+    private final int sockets;
+    /** Those without a whole call, oldest first. */
+    private final Set<Caller> waiting = new LinkedHashSet<>();
+
+    /** {@code sockets}: descriptors that the process may hold. */
+    public Callers(Loop loop, Desk desk, Tally tally, int sockets) {
+        this.loop = loop;
+        this.desk = desk;
+        this.tally = tally;
+        this.sockets = sockets;
+    }
+
+    public InetSocketAddress listen(InetSocketAddress address) throws IOException {
+        return loop.listen(address, this::makeRoom, link -> {
+            tally.count("operators' connections");
+            new Caller(link);
+        }).address();
+    }
+
+    /** Whether one more may come in, once others have made room. */
+    private boolean makeRoom() {
+        while (waiting.size() >= MOST) {
+            giveWay();
+        }
+        while (loop.descriptors() > sockets - 2) {
+            if (!loop.closeLingering() && !giveWay()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean giveWay() {
+        Iterator<Caller> oldest = waiting.iterator();
+        if (!oldest.hasNext()) {
+            return false;
+        }
+        tally.count("operators' connections that gave way");
+        Caller caller = oldest.next();
+        caller.answer(HttpAnswer.error(503, "others call, and no whole call has come here"));
+        // Nothing that it sent is unread, so the answer is not lost by this.
+        caller.link.close();
+        return true;
+    }
+
+    private final class Caller implements Link.Events {
+        private final Link link;
+        private final HttpRequest call = new HttpRequest();
+        private final Loop.Timer patience;
+        private boolean over;
+
+        Caller(Link link) {
+            this.link = link;
+            waiting.add(this);
+            patience = loop.after(PATIENCE, () -> last(HttpAnswer.error(408, "no whole call came")));
+            link.events(this);
+        }
+
+        private void answer(HttpAnswer answer) {
+            leaveQueue();
+            if (!over) {
+                over = true;
+                tally.count("operators' calls answered " + answer.status());
+                link.write(answer.bytes());
+            }
+        }
+
+        private void last(HttpAnswer answer) {
+            answer(answer);
+            link.finish();
+        }
+
+        private void leaveQueue() {
+            patience.cancel();
+            waiting.remove(this);
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            if (!waiting.contains(this)) {
+                return;
+            }
+            try {
+                if (call.read(bytes)) {
+                    leaveQueue();
+                    desk.take(call, this::last);
+                }
+            } catch (HttpRequest.Refused e) {
+                last(HttpAnswer.error(e.status(), e.getMessage()));
+            }
+        }
+
+        /** A caller may end its sending once its call is out; one without a whole call hears nothing more. */
+        @Override
+        public void ended() {
+            if (waiting.contains(this)) {
+                leaveQueue();
+                over = true;
+                link.close();
+            }
+        }
+
+        @Override
+        public void broken() {
+            leaveQueue();
+            over = true;
+            link.close();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/embershift/operations/Desk.java
@@ -0,0 +1,72 @@
+package embershift.operations;
+
+import embershift.model.ProfileId;
+import embershift.protocol.HttpAnswer;
+import embershift.protocol.HttpRequest;
+import embershift.protocol.Json;
+import embershift.routing.Router;
+import embershift.routing.Tally;
+import embershift.routing.Tally.Outcome;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** What operators may call, and what each call is answered; no sockets. One thread, the router's. */
+public final class Desk {
+
+    private static final String ROOT = "api";
+
+    private final Router router;
+    private final BooleanSupplier ready;
+
+    /** {@code ready} says whether clients are taken now. */
+    public Desk(Router router, BooleanSupplier ready) {
+        this.router = router;
+        this.ready = ready;
+    }
+
+    /** Answers a call, now or, where it takes effect with the next round, after that. */
+    public void take(HttpRequest call, Consumer<HttpAnswer> answer) {
+        List<String> path = call.path();
+        String name = path.size() > 1 && path.get(0).equals(ROOT) ? path.get(1) : "";
+        if (path.size() == 2 && name.equals("ready")) {
+            only("GET", call, answer, this::ready);
+        } else if (path.size() == 2 && name.equals("telemetry")) {
+            only("GET", call, answer, this::telemetry);
+        } else {
+            answer.accept(HttpAnswer.error(404, "no such call"));
+        }
+    }
+
+    private static void only(String method, HttpRequest call, Consumer<HttpAnswer> answer,
+                             Consumer<Consumer<HttpAnswer>> then) {
+        if (call.method().equals(method)) {
+            then.accept(answer);
+        } else {
+            answer.accept(HttpAnswer.onlyBy(method));
+        }
+    }
+
+    private void ready(Consumer<HttpAnswer> answer) {
+        answer.accept(ready.getAsBoolean() ? HttpAnswer.of(200, "{\"ready\":true}")
+                : HttpAnswer.error(503, "this node takes no clients now"));
+    }
+
+    private void telemetry(Consumer<HttpAnswer> answer) {
+        Tally tally = router.tally();
+        StringBuilder out = new StringBuilder("{\"operations\":{");
+        String comma = "";
+        for (ProfileId profile : tally.profiles()) {
+            out.append(comma).append(Json.quoted(profile.name()))
+                    .append(":{\"fulfilled\":").append(tally.of(profile, Outcome.OPENED))
+                    .append(",\"throttled\":").append(tally.of(profile, Outcome.DECLINED))
+                    .append(",\"faulted\":").append(tally.of(profile, Outcome.CLOSED_WITH_ERROR)).append('}');
+            comma = ",";
+        }
+        out.append("},\"relayed\":").append(tally.of(Tally.RELAYED)).append(",\"open_requests\":").append(router.openTunnels())
+                .append(",\"registry_entries\":").append(router.listedHosts())
+                .append(",\"out_of_rotation\":").append(router.avoidedHosts()).append('}');
+        answer.accept(HttpAnswer.of(200, out.toString()));
+    }
+}
--- a/node/src/main/java/embershift/program/Main.java
+++ b/node/src/main/java/embershift/program/Main.java
@@ -48,7 +48,9 @@
         public int run() throws IOException, Unreadable {
             NodeConfiguration configuration = read();
             System.out.println("sound: " + configuration.name() + " would listen on "
-                    + configuration.listen().getHostString() + ":" + configuration.listen().getPort());
+                    + configuration.listen().getHostString() + ":" + configuration.listen().getPort()
+                    + (configuration.management() == null ? "" : ", for operators on "
+                    + configuration.management().getHostString() + ":" + configuration.management().getPort()));
             return 0;
         }
     }
@@ -105,7 +107,8 @@
                 throw new Unreadable("no configuration: set LB_CONFIG or give --configuration FILE");
             }
             try {
-                return NodeConfiguration.read(Files.readString(Path.of(file), StandardCharsets.UTF_8));
+                return NodeConfiguration.read(Files.readString(Path.of(file), StandardCharsets.UTF_8),
+                        System.getenv("LB_MANAGEMENT"));
             } catch (IOException | InvalidPathException e) {
                 throw new Unreadable("configuration " + file + " can't be read: " + e.getMessage());
             } catch (Unreadable e) {
--- a/node/src/main/java/embershift/program/Rehearsal.java
+++ b/node/src/main/java/embershift/program/Rehearsal.java
@@ -40,7 +40,7 @@
     void play(Log log) throws IOException, Unreadable {
         serve(host, this::beHost);
         serve(discovery, this::beDiscovery);
-        InetSocketAddress node = new Service(() -> NodeConfiguration.read(configuration()), log).start();
+        InetSocketAddress node = new Service(() -> NodeConfiguration.read(configuration(), null), log).start();
         for (int i = 0; i < TUNNELS; i++) {
             try (Socket client = new Socket(node.getAddress(), node.getPort())) {
                 client.setSoTimeout(PATIENCE_MS);
--- a/node/src/main/java/embershift/program/Service.java
+++ b/node/src/main/java/embershift/program/Service.java
@@ -1,6 +1,8 @@
 package embershift.program;
 
 import embershift.model.Deployment;
+import embershift.operations.Callers;
+import embershift.operations.Desk;
 import embershift.protocol.NodeConfiguration;
 import embershift.protocol.Unreadable;
 import embershift.routing.Router;
@@ -73,6 +75,7 @@
     private void serve(CompletableFuture<InetSocketAddress> serving) {
         try {
             router = new Router(loop, configuration, log::line);
+            listenForOperators();
             InetSocketAddress address = router.listen(configuration.listen());
             enter(Phase.SERVING);
             log.line("listening on " + address.getHostString() + ":" + address.getPort());
@@ -82,6 +85,16 @@
         }
     }
 
+    /** First of all: while the node starts, operators hear a no, not nothing. */
+    private void listenForOperators() throws IOException {
+        if (configuration.management() != null) {
+            Desk desk = new Desk(router, () -> phase == Phase.SERVING);
+            InetSocketAddress address = new Callers(loop, desk, router.tally(), configuration.sockets())
+                    .listen(configuration.management());
+            log.line("operators call " + address.getHostString() + ":" + address.getPort());
+        }
+    }
+
     private void enter(Phase next) {
         phase = next;
         log.line(configuration.name() + " " + phase.name().toLowerCase(Locale.ROOT));
--- /dev/null
+++ b/node/src/main/java/embershift/protocol/HttpRequest.java
@@ -0,0 +1,181 @@
+package embershift.protocol;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One request of an HTTP/1.1 client, read from bytes that come in any split. A body is read and dropped: no call needs
+ * one. A request that can't be taken fails with {@link Refused}, which holds the status to answer with.
+ */
+public final class HttpRequest extends HttpMessage {
+
+    /** Header bytes, header and first lines, and body bytes that a request may have. */
+    private static final int LARGEST_HEADER = 16 * 1024;
+    private static final int LARGEST_BODY = 64 * 1024;
+
+    /** Why a request is not taken. */
+    public static final class Refused extends Exception {
+
+        private static final long serialVersionUID = 1;
+        private final int status;
+
+        Refused(int status, String message) {
+            super(message, null, false, false);
+            this.status = status;
+        }
+
+        public int status() {
+            return status;
+        }
+    }
+
+    private String method;
+    private List<String> path = List.of();
+    private boolean continues;
+    private int headerBytes;
+    private long bodyBytes;
+    private int status = 400;
+
+    /** As {@link #take}; what is wrong is told with its status. */
+    public boolean read(ByteBuffer bytes) throws Refused {
+        try {
+            return take(bytes);
+        } catch (Unreadable e) {
+            throw new Refused(status, e.getMessage());
+        }
+    }
+
+    private Unreadable wrong(int as, String why) {
+        status = as;
+        return new Unreadable(why);
+    }
+
+    @Override
+    byte[] nextLine(Line from, ByteBuffer bytes) throws Unreadable {
+        int before = bytes.remaining();
+        byte[] line;
+        try {
+            line = from.next(bytes);
+        } catch (Unreadable e) {
+            throw wrong(431, e.getMessage());
+        }
+        headerBytes += before - bytes.remaining();
+        if (headerBytes > LARGEST_HEADER) {
+            throw wrong(431, "header over " + LARGEST_HEADER + " bytes");
+        }
+        return line;
+    }
+
+    @Override
+    boolean takeFirst(String line) throws Unreadable {
+        if (line.isEmpty()) {
+            // Empty lines before a request are to be passed over (RFC 9112, 2.2).
+            return false;
+        }
+        String[] words = line.split(" ", -1);
+        if (words.length != 3 || words[0].isEmpty() || words[1].isEmpty()) {
+            throw new Unreadable("a request begins with a method, a path and a version");
+        }
+        if (!words[2].matches("HTTP/\\d\\.\\d")) {
+            throw new Unreadable("'" + printable(words[2]) + "' is no version of HTTP");
+        }
+        if (!words[2].startsWith("HTTP/1.")) {
+            throw wrong(505, "this is HTTP/1.1");
+        }
+        method = words[0];
+        path = segments(words[1]);
+        return true;
+    }
+
+    /** The path's parts, decoded one by one, so that an encoded slash stays within its part. */
+    private static List<String> segments(String target) throws Unreadable {
+        String text = target;
+        int scheme = text.indexOf("://");
+        if (!text.startsWith("/") && scheme > 0) {
+            int slash = text.indexOf('/', scheme + 3);
+            text = slash < 0 ? "/" : text.substring(slash);
+        }
+        if (!text.startsWith("/")) {
+            throw new Unreadable("a path begins with /");
+        }
+        int query = text.indexOf('?');
+        List<String> parts = new ArrayList<>();
+        for (String part : (query < 0 ? text : text.substring(0, query)).substring(1).split("/", -1)) {
+            parts.add(decoded(part));
+        }
+        return List.copyOf(parts);
+    }
+
+    private static String decoded(String part) throws Unreadable {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(part.length());
+        for (int i = 0; i < part.length(); i++) {
+            char c = part.charAt(i);
+            if (c == '%') {
+                boolean whole = i + 2 < part.length();
+                int high = whole ? Character.digit(part.charAt(i + 1), 16) : -1;
+                int low = whole ? Character.digit(part.charAt(i + 2), 16) : -1;
+                if (high < 0 || low < 0) {
+                    throw new Unreadable("a percent sign without its two digits");
+                }
+                bytes.write(high * 16 + low);
+                i += 2;
+            } else {
+                bytes.write(c);
+            }
+        }
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    private static String printable(String text) {
+        return text.replaceAll("[^ -~]", "?");
+    }
+
+    @Override
+    void takeField(String name, String value) throws Unreadable {
+        if (name.equals("expect")) {
+            continues = value.equalsIgnoreCase("100-continue");
+        } else if (name.equals("transfer-encoding") && !value.equalsIgnoreCase("chunked")) {
+            throw wrong(501, "no transfer encoding but chunked is known here");
+        }
+    }
+
+    @Override
+    boolean headerEnds() throws Unreadable {
+        if (chunked() && counted()) {
+            throw new Unreadable("a body both counted and in chunks");
+        }
+        return true;
+    }
+
+    /** Who asks before sending a body is answered at once: none is needed. */
+    @Override
+    boolean bodyless() {
+        return continues;
+    }
+
+    @Override
+    boolean runsToEnd() {
+        return false;
+    }
+
+    @Override
+    void takeBody(ByteBuffer bytes) throws Unreadable {
+        bodyBytes += bytes.remaining();
+        if (bodyBytes > LARGEST_BODY) {
+            throw wrong(413, "body over " + LARGEST_BODY + " bytes");
+        }
+    }
+
+    /** As the client wrote it: methods tell small from capital letters. */
+    public String method() {
+        return method;
+    }
+
+    /** The parts of the path, decoded, without the query. */
+    public List<String> path() {
+        return path;
+    }
+}
--- a/node/src/main/java/embershift/protocol/Json.java
+++ b/node/src/main/java/embershift/protocol/Json.java
@@ -171,4 +171,21 @@
             throw wrong("a value");
         }
     }
+
+    /** The text as a JSON string, with its quotes; whatever is not plain ASCII is escaped. */
+    public static String quoted(String text) {
+        StringBuilder out = new StringBuilder(text.length() + 2).append('"');
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c == '"' || c == '\\') {
+                out.append('\\').append(c);
+            } else if (c < ' ' || c > '~') {
+                String digits = Integer.toHexString(c);
+                out.append("\\u").append("0000", digits.length(), 4).append(digits);
+            } else {
+                out.append(c);
+            }
+        }
+        return out.append('"').toString();
+    }
 }
--- a/node/src/main/java/embershift/protocol/NodeConfiguration.java
+++ b/node/src/main/java/embershift/protocol/NodeConfiguration.java
@@ -9,13 +9,17 @@
 
 /** All that the platform tells a node when it starts. */
 public record NodeConfiguration(String name, InetSocketAddress listen, InetSocketAddress discovery,
-                                int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
+                                int sockets, InetSocketAddress management, InetSocketAddress peerListen, List<InetSocketAddress> peers,
                                 InetSocketAddress peersAll, RosterPage known, Object settings,
                                 Deployment deployment) {
 
     private static final int USUAL_SOCKETS = 1024;
 
-    public static NodeConfiguration read(String text) throws Unreadable {
+    /**
+     * Reads a configuration. {@code management}, the operators' address, is taken from the text, else as given here,
+     * which may be null or empty where there is none.
+     */
+    public static NodeConfiguration read(String text, String management) throws Unreadable {
         JsonObject all = new JsonObject("configuration", Json.read(text));
         all.child("settings");
         List<InetSocketAddress> peers = new ArrayList<>();
@@ -24,8 +28,10 @@
         }
         int sockets = all.has("limits")
                 ? (int) all.child("limits").numberOr("sockets", USUAL_SOCKETS) : USUAL_SOCKETS;
+        String operators = all.textOr("management", management);
         return new NodeConfiguration(all.textOr("name", "-"), Addresses.read(all.text("listen")),
                 Addresses.read(all.text("discovery")), sockets,
+                operators == null || operators.isEmpty() ? null : Addresses.read(operators),
                 all.has("peer_listen") ? Addresses.read(all.text("peer_listen")) : null, List.copyOf(peers),
                 all.has("peers_all") ? Addresses.read(all.text("peers_all")) : null,
                 all.has("known") ? RosterPage.of(all.value("known")) : null, all.value("settings"),
@@ -41,6 +47,9 @@
         if (!listen.equals(later.listen)) {
             changes.add("listen");
         }
+        if (!Objects.equals(management, later.management)) {
+            changes.add("management");
+        }
         if (!Objects.equals(peerListen, later.peerListen)) {
             changes.add("peer_listen");
         }
--- a/node/src/main/java/embershift/routing/Passage.java
+++ b/node/src/main/java/embershift/routing/Passage.java
@@ -8,6 +8,7 @@
 import embershift.protocol.Report;
 import embershift.protocol.Trail;
 import embershift.protocol.Unreadable;
+import embershift.routing.Tally.Outcome;
 import embershift.transport.Link;
 import embershift.transport.Loop;
 
@@ -97,7 +98,7 @@
         if (state == State.TAKEN) {
             router.tally().count("tunnels overdue");
             router.hear(news -> news.tunnelLeft(opening.id()));
-            answer("ERR out of time", "tunnels closed with error");
+            answer("ERR out of time", Outcome.CLOSED_WITH_ERROR);
             if (setup != null) {
                 setup.cancel();
             }
@@ -166,11 +167,11 @@
     }
 
     /** The final answer of a tunnel that no host took. */
-    void answer(String line, String counted) {
+    void answer(String line, Outcome outcome) {
         if (state != State.TAKEN) {
             return;
         }
-        router.tally().count(counted);
+        router.tally().count(outcome, opening.profile());
         client.write(Line.of(line));
         over();
         client.finish();
@@ -348,7 +349,7 @@
     /** The node stops: what is still here ends now, as politely as may be. */
     void stop() {
         if (state == State.TAKEN) {
-            answer("ERR node stops", "tunnels closed with error");
+            answer("ERR node stops", Outcome.CLOSED_WITH_ERROR);
         } else if (state == State.OPEN) {
             if (trail.betweenLines()) {
                 client.write(Line.of("MOVE"));
@@ -434,7 +435,14 @@
                 return;
             }
             timer = router.loop().after(wait, this::timedOut);
-            written = link.write(opening.toHost(wait)) && !link.backedUp();
+            if (link.write(opening.toHost(wait)) && !link.backedUp()) {
+                writtenWhole();
+            }
+        }
+
+        private void writtenWhole() {
+            written = true;
+            router.tally().count(Tally.RELAYED);
         }
 
         @Override
@@ -487,7 +495,8 @@
                 return;
             }
             if (standing()) {
-                answer("ERR host " + end.name().toLowerCase(java.util.Locale.ROOT), "standing tunnels lost");
+                router.tally().count("standing tunnels lost");
+                answer("ERR host " + end.name().toLowerCase(java.util.Locale.ROOT), Outcome.CLOSED_WITH_ERROR);
                 return;
             }
             tellEnd(this, end, report, state != State.TAKEN);
@@ -543,7 +552,10 @@
             state = State.OPEN;
             trail = new Trail();
             double took = router.now() - sentAt;
-            router.tally().count(standing() ? "standing tunnels resumed" : "tunnels opened");
+            if (standing()) {
+                router.tally().count("standing tunnels resumed");
+            }
+            router.tally().count(Outcome.OPENED, opening.profile());
             client.write(ByteBuffer.wrap(line));
             router.opened(Passage.this, contact, number, took);
             if (ahead != null) {
@@ -594,7 +606,9 @@
 
         @Override
         public void drained() {
-            written = true;
+            if (!written) {
+                writtenWhole();
+            }
             client.receive(true);
         }
     }
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -45,6 +45,8 @@
     private static final double SWEEP = 0.1;
     private static final double LEAST_WAKE = 0.002;
     private static final int MOST_FAULTS = 20;
+    /** Descriptors kept for operators, which neither tunnels nor strangers may take. */
+    public static final int OPERATORS = 32;
     /** Part of the connect time-out, and its multiple, that setups given up and probes are waited for. */
     private static final double END_PATIENCE = 0.4;
     private static final double PROBE_PATIENCE = 1.6;
@@ -55,7 +57,7 @@
     private final Deployment deployment;
     private final Policy module;
     private final Consumer<String> log;
-    private final Tally tally = new Tally();
+    private final Tally tally;
     private final Map<TunnelId, Passage> passages = new HashMap<>();
     private final Map<HostId, Contact> contacts = new HashMap<>();
     private final List<Passage> unplaced = new ArrayList<>();
@@ -72,16 +74,19 @@
     /** Places in the code whose faults have been told: each is told once. */
     private final Set<String> faultsTold = new HashSet<>();
     private boolean leaving;
+    private int listedHosts;
+    private int avoidedHosts;
 
     public Router(Loop loop, NodeConfiguration configuration, Consumer<String> log) throws IOException {
         this.loop = loop;
         this.log = log;
         deployment = configuration.deployment();
         module = new Policy(deployment);
+        tally = new Tally(deployment);
         connectTimeout = deployment.connectTimeout() > 0 ? deployment.connectTimeout() : 0.25;
         slowMessage = SLOW_MESSAGE * deployment.profiles().stream()
                 .mapToDouble(Deployment.Profile::setupGoal).min().orElse(1);
-        strangers = new Strangers(loop, tally, configuration.sockets());
+        strangers = new Strangers(loop, tally, forTunnels(configuration));
         roster = new Roster(this, configuration.discovery());
         peers = new Peers(this, configuration);
         if (configuration.known() != null) {
@@ -110,7 +115,12 @@
     public void reconfigure(NodeConfiguration next) {
         roster.moveTo(next.discovery());
         peers.reachedBy(next);
-        strangers.limit(next.sockets());
+        strangers.limit(forTunnels(next));
+    }
+
+    /** Descriptors that are left once those for operators are put by. */
+    private static int forTunnels(NodeConfiguration configuration) {
+        return configuration.sockets() - (configuration.management() == null ? 0 : OPERATORS);
     }
 
     /** The node is to stop: the module moves what is here. */
@@ -129,6 +139,21 @@
         return passages.isEmpty();
     }
 
+    /** Tunnels taken and not ended. */
+    public int openTunnels() {
+        return passages.size();
+    }
+
+    /** Hosts on the list as last told. */
+    public int listedHosts() {
+        return listedHosts;
+    }
+
+    /** Listed hosts that the module gives nothing new now, by hand or by its choice; up to SWEEP old. */
+    public int avoidedHosts() {
+        return avoidedHosts;
+    }
+
     /** Ends what is still here. */
     public void stop() {
         new ArrayList<>(passages.values()).forEach(Passage::stop);
@@ -189,6 +214,8 @@
         silences.expire(now, Passage::quiet);
         longSilences.expire(now, Passage::silent);
         endings.expire(now, Passage::endingTooLong);
+        listedHosts = module.listed(false);
+        avoidedHosts = module.listed(true);
         loop.after(SWEEP, this::sweep);
     }
 
@@ -256,7 +283,7 @@
             // Guards the descriptors: with none left, nothing could be taken in or answered at all. What
             // stood before has been promised its place.
             tally.count("tunnels declined for want of descriptors");
-            passage.answer("BUSY", "tunnels declined");
+            passage.answer("BUSY", Tally.Outcome.DECLINED);
             return;
         }
         if (opening.standingAt() != null) {
@@ -356,7 +383,7 @@
         Passage passage = passages.get(id);
         if (passage != null) {
             long millis = (long) Math.ceil(returnAfter * 1000);
-            passage.answer(millis > 0 ? "BUSY " + millis : "BUSY", "tunnels declined");
+            passage.answer(millis > 0 ? "BUSY " + millis : "BUSY", Tally.Outcome.DECLINED);
         }
     }
 
@@ -364,7 +391,7 @@
     public void closeWithError(TunnelId id) {
         Passage passage = passages.get(id);
         if (passage != null) {
-            passage.answer("ERR no host took it", "tunnels closed with error");
+            passage.answer("ERR no host took it", Tally.Outcome.CLOSED_WITH_ERROR);
         }
     }
 
--- a/node/src/main/java/embershift/routing/Tally.java
+++ b/node/src/main/java/embershift/routing/Tally.java
@@ -1,26 +1,89 @@
 package embershift.routing;
 
+import embershift.model.Deployment;
+import embershift.model.ProfileId;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
-/** What the node takes in, sends and answers, counted by name. */
+/**
+ * What the node takes in, sends and answers, counted by name, and what is told of each profile: operators see the same
+ * counters that the node prints at its end.
+ */
 public final class Tally {
 
+    /** What is counted for each profile, each at the one place at which it happens. */
+    public enum Outcome {
+        /** A host's {@code UP} was handed over to the client. */
+        OPENED("tunnels opened"),
+        DECLINED("tunnels declined"),
+        CLOSED_WITH_ERROR("tunnels closed with error");
+
+        private final String name;
+
+        Outcome(String name) {
+            this.name = name;
+        }
+    }
+
+    /** Setups whose line was written whole to a host. */
+    public static final String RELAYED = "setups written whole";
+
     private final Map<String, long[]> counts = new TreeMap<>();
+    /** The profiles of the deployment, in its order; others are counted for none. */
+    private final Map<ProfileId, long[]> profiles = new LinkedHashMap<>();
+
+    Tally(Deployment deployment) {
+        deployment.profiles().forEach(profile -> profiles.put(profile.id(), new long[Outcome.values().length]));
+    }
 
     public void count(String name) {
         add(name, 1);
     }
 
+    void count(Outcome outcome, ProfileId profile) {
+        count(outcome.name);
+        long[] own = profiles.get(profile);
+        if (own != null) {
+            own[outcome.ordinal()]++;
+        }
+    }
+
     void add(String name, long many) {
         counts.computeIfAbsent(name, key -> new long[1])[0] += many;
     }
 
-    /** One line for each count, by name. */
+    /** What was counted by this name. */
+    public long of(String name) {
+        long[] count = counts.get(name);
+        return count == null ? 0 : count[0];
+    }
+
+    /** The deployment's profiles, in its order. */
+    public List<ProfileId> profiles() {
+        return new ArrayList<>(profiles.keySet());
+    }
+
+    public long of(ProfileId profile, Outcome outcome) {
+        return profiles.get(profile)[outcome.ordinal()];
+    }
+
+    /** One line for each count, by name, then those of each profile. */
     @Override
     public String toString() {
         StringBuilder out = new StringBuilder();
         counts.forEach((name, count) -> out.append(name).append(' ').append(count[0]).append('\n'));
+        profiles.forEach((profile, own) -> {
+            for (Outcome outcome : Outcome.values()) {
+                if (own[outcome.ordinal()] > 0) {
+                    out.append(outcome.name).append(" of ").append(profile.name()).append(' ')
+                            .append(own[outcome.ordinal()]).append('\n');
+                }
+            }
+        });
         return out.toString();
     }
 }
--- /dev/null
+++ b/node/src/test/java/embershift/operations/OperatorsTest.java
@@ -0,0 +1,224 @@
+package embershift.operations;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import embershift.protocol.HttpReply;
+import embershift.protocol.NodeConfiguration;
+import embershift.routing.Router;
+import embershift.transport.Loop;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+
+/** Operators' calls on loopback, beside the tunnels that they ask about. */
+public class OperatorsTest {
+
+    private static final int PATIENCE_MS = 10_000;
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Loop loop;
+    private Router router;
+    private InetSocketAddress clients;
+    private InetSocketAddress operators;
+    private volatile boolean ready;
+
+    @BeforeMethod
+    public void begin() throws IOException {
+        loop = new Loop();
+        ready = true;
+    }
+
+    @AfterMethod
+    public void end() throws Exception {
+        loop.stop();
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+        open.clear();
+    }
+
+    private ServerSocket host() throws IOException {
+        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        server.setSoTimeout(PATIENCE_MS);
+        open.add(server);
+        return server;
+    }
+
+    private void start(int sockets, ServerSocket... hosts) throws Exception {
+        List<String> known = new ArrayList<>();
+        for (ServerSocket host : hosts) {
+            known.add("{\"instanceId\":\"s%d\",\"hostPort\":\"127.0.0.1:%d\",\"zone\":\"a\",".formatted(known.size(),
+                    host.getLocalPort()) + "\"lifecycle\":\"in_service\",\"weight\":1,\"startedAtMs\":0}");
+        }
+        NodeConfiguration configuration = NodeConfiguration.read("""
+            {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":%d},
+             "known":{"generation":1,"reset":true,"instances":[%s]},
+             "settings":{"balancers":1,"az":"a","discovery":"subscribe",
+              "profiles":[{"name":"p\\"q","repeat":"at_most_once","setup-goal-s":0.5,"client-timeout-s":3}],
+              "report":{"columns":[]},"domain":{"mode":"proxy"},
+              "limits":{"may-probe":false,"may-cancel":true,"may-duplicate":false,"most-setups":3,
+                        "retry-after":true,"max-retry-after-s":1,"connect-timeout-s":0.25},
+              "rules":{"must-ask-in-s":2,"drain-grace-s":1,"cold-from":0.3,"warm-after-s":8,
+                       "fall-multiple":4,"fall-s":1.5}}}""".formatted(sockets, String.join(",", known)),
+                "127.0.0.1:0");
+        on(() -> {
+            router = new Router(loop, configuration, line -> { });
+            operators = new Callers(loop, new Desk(router, () -> ready), router.tally(), sockets)
+                    .listen(configuration.management());
+            clients = router.listen(configuration.listen());
+            return null;
+        });
+    }
+
+    private <T> T on(Callable<T> step) throws Exception {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                done.complete(step.call());
+            } catch (Exception e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.get();
+    }
+
+    private Socket talk(InetSocketAddress to, String words) throws IOException {
+        Socket socket = new Socket(to.getAddress(), to.getPort());
+        open.add(socket);
+        socket.setSoTimeout(PATIENCE_MS);
+        say(socket, words);
+        return socket;
+    }
+
+    private static void say(Socket socket, String words) throws IOException {
+        socket.getOutputStream().write(words.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String hear(Socket socket) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int b = socket.getInputStream().read(); b >= 0 && b != '\n'; b = socket.getInputStream().read()) {
+            line.append((char) b);
+        }
+        return line.toString().trim();
+    }
+
+    private static HttpReply reply(Socket socket) throws Exception {
+        HttpReply reply = new HttpReply();
+        // To the end of the connection: each answer must end it.
+        reply.take(ByteBuffer.wrap(socket.getInputStream().readAllBytes()));
+        assertTrue(reply.end());
+        return reply;
+    }
+
+    private HttpReply call(String method, String path) throws Exception {
+        return reply(talk(operators, method + " " + path + " HTTP/1.1\r\nHost: n\r\n\r\n"));
+    }
+
+    /** A client's line, and its host's side once that has read it. */
+    private Socket[] tunnel(ServerSocket host, String id) throws IOException {
+        Socket client = talk(clients, "OPEN " + id + " k c=p\"q,d=3000\r\n");
+        Socket side = host.accept();
+        open.add(side);
+        hear(side);
+        return new Socket[] {client, side};
+    }
+
+    private void telemetryBecomes(String expected) throws Exception {
+        String body = "";
+        for (long until = System.nanoTime() + PATIENCE_MS * 1_000_000L; System.nanoTime() < until; ) {
+            body = call("GET", "/api/telemetry").body().trim();
+            if (body.equals(expected)) {
+                return;
+            }
+        }
+        assertEquals(body, expected);
+    }
+
+    private static String figures(int fulfilled, int throttled, int faulted, int relayed, int open, int avoided) {
+        return ("{\"operations\":{\"p\\\"q\":{\"fulfilled\":%d,\"throttled\":%d,\"faulted\":%d}},"
+                + "\"relayed\":%d,\"open_requests\":%d,\"registry_entries\":1,\"out_of_rotation\":%d}")
+                .formatted(fulfilled, throttled, faulted, relayed, open, avoided);
+    }
+
+    @Test
+    public void eachCallHasItsStatus() throws Exception {
+        start(1024);
+        assertEquals(call("GET", "/api/ready").status(), 200);
+        ready = false;
+        assertEquals(call("GET", "/api/ready").status(), 503);
+        assertEquals(call("GET", "/api/telemetry?x").status(), 200);
+        assertEquals(call("GET", "/api/nothing").status(), 404);
+        assertEquals(call("GET", "/").status(), 404);
+        assertEquals(call("POST", "/api/ready").status(), 405);
+        assertEquals(call("DELETE", "/api/telemetry").status(), 405);
+        assertEquals(call("GET", "nowhere").status(), 400);
+    }
+
+    @Test
+    public void figuresCountEachTunnelOnceByItsAnswer() throws Exception {
+        ServerSocket host = host();
+        start(1024, host);
+        telemetryBecomes(figures(0, 0, 0, 0, 0, 0));
+        Socket[] opened = tunnel(host, "a");
+        say(opened[1], "UP r\r\n");
+        assertEquals(hear(opened[0]), "UP r");
+        telemetryBecomes(figures(1, 0, 0, 1, 1, 0));
+        Socket[] failed = tunnel(host, "b");
+        say(failed[1], "ERR\r\n");
+        assertTrue(hear(failed[0]).startsWith("ERR"));
+        telemetryBecomes(figures(1, 0, 1, 2, 1, 1));
+        host.close();
+        Socket declined = talk(clients, "OPEN c k c=p\"q,d=3000\r\n");
+        assertTrue(hear(declined).startsWith("BUSY"));
+        say(opened[1], "BYE\r\n");
+        opened[1].close();
+        telemetryBecomes(figures(1, 1, 1, 2, 0, 1));
+    }
+
+    @Test
+    public void crowdWithoutAWholeCallKeepsNoSoundCallerOutNorAnyClient() throws Exception {
+        ServerSocket host = host();
+        start(1024, host);
+        Socket first = talk(operators, "");
+        for (int i = 0; i < 100; i++) {
+            talk(operators, i % 2 == 0 ? "" : "GET /api/re");
+        }
+        assertEquals(call("GET", "/api/ready").status(), 200);
+        assertEquals(reply(first).status(), 503);
+        Socket slow = talk(operators, "GET /api/ready HTTP/1.1\r\n");
+        for (int i = 0; i < 7; i++) {
+            talk(operators, "");
+        }
+        say(slow, "\r\n");
+        assertEquals(reply(slow).status(), 200);
+        tunnel(host, "a");
+    }
+
+    @Test
+    public void operatorsAreAnsweredWhereClientsHaveTakenAllDescriptors() throws Exception {
+        start(on(loop::descriptors) + Router.OPERATORS + 60);
+        for (int i = 0; i < 150; i++) {
+            talk(clients, i % 2 == 0 ? "" : "OPEN ");
+        }
+        while (!on(() -> router.tally().toString()).contains("accepts paused")
+                && !on(() -> router.tally().toString()).contains("turned away")) {
+            Thread.onSpinWait();
+        }
+        for (int i = 0; i < 2 * Router.OPERATORS; i++) {
+            assertEquals(call("GET", "/api/ready").status(), 200);
+        }
+    }
+}
--- a/node/src/test/java/embershift/protocol/ProtocolTest.java
+++ b/node/src/test/java/embershift/protocol/ProtocolTest.java
@@ -270,7 +270,7 @@
 
     @Test
     public void settingsBecomeADeployment() throws Unreadable {
-        NodeConfiguration configuration = NodeConfiguration.read(CONFIGURATION);
+        NodeConfiguration configuration = NodeConfiguration.read(CONFIGURATION, null);
         Deployment deployment = configuration.deployment();
         assertEquals(deployment.seed(), 0x8c1f30d27a5be964L);
         assertEquals(List.of(deployment.nodes(), deployment.mayProbe(), deployment.mayTellNodes(),
@@ -289,7 +289,7 @@
     @Test(dataProvider = "needed")
     public void whatIsMissingIsNamed(String key, String named) {
         String text = CONFIGURATION.replace(key, "\"other\"");
-        Unreadable e = org.testng.Assert.expectThrows(Unreadable.class, () -> NodeConfiguration.read(text));
+        Unreadable e = org.testng.Assert.expectThrows(Unreadable.class, () -> NodeConfiguration.read(text, null));
         assertTrue(e.getMessage().contains(named), e.getMessage());
     }
 }
--- a/node/src/test/java/embershift/routing/RouterTest.java
+++ b/node/src/test/java/embershift/routing/RouterTest.java
@@ -86,7 +86,7 @@
                         "retry-after":true,"max-retry-after-s":1,"connect-timeout-s":0.25},
               "rules":{"must-ask-in-s":2,"drain-grace-s":1,"cold-from":0.3,"warm-after-s":8,
                        "fall-multiple":4,"fall-s":1.5}}}""".formatted(discovery.getLocalPort(), sockets, known,
-                rosterOnRequest ? "subscribe" : "automatic"));
+                rosterOnRequest ? "subscribe" : "automatic"), null);
     }
 
     private interface Step<T> {
