Hosts out by hand: exclude and include, decided in the module

Change: hostByHand in News; a flag on the module's host that takesNew, probes and departures go by. A host called back starts anew as of now (cold part, no figure, no failures) and is asked at once. The desk says yes behind the round that took it. Not yet over an upgrade.

--- a/core/src/main/java/embershift/model/News.java
+++ b/core/src/main/java/embershift/model/News.java
@@ -19,6 +19,10 @@
     /** A call to the roster failed, or its watch broke; what was listed before still stands. */
     void rosterLost();
 
+    /** Staff take a host out of service, or say that it may serve again, just started; whatever the roster says. */
+    default void hostByHand(HostId host, boolean out) {
+    }
+
     /**
      * The node now owes this tunnel one final answer; participant, subject and group are null where not
      * given.
--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -173,49 +173,50 @@
 
     @Override
     public void rosterListed(List<Listing> listings, boolean remembered) {
-        for (Host host : roll) {
-            host.listed = false;
-        }
+        roll.forEach(host -> host.listed = false);
         rosterChanged(listings);
-        for (Host host : roll) {
-            if (!host.listed) {
-                host.state = Listing.State.GONE;
-            }
-        }
-        if (!remembered) {
-            rosterAnswered();
-        }
+        roll.stream().filter(host -> !host.listed).forEach(host -> host.state = Listing.State.GONE);
     }
 
     @Override
     public void rosterChanged(List<Listing> listings) {
         for (Listing listing : listings) {
-            Host host = hosts.get(listing.host());
-            if (host == null) {
-                host = new Host(listing.host());
-                host.nextProbe = now;
-                enrol(host);
-            }
+            Host host = known(listing.host());
             if (listing.launchedAt() > host.launchedAt) {
                 host.back = host.zone != null;
                 host.launchedAt = listing.launchedAt();
                 host.startsAnew(listing.launchedAt());
-                host.nextProbe = now;
             }
             host.listed = true;
-            if (listing.state() == Listing.State.DRAINING && host.state == Listing.State.READY) {
-                departures.addAll(host.own.values(), now, DRAIN * PERIOD);
-            }
-            host.state = listing.state();
+            turn(host, listing.state(), host.byHand);
             host.zone = listing.zone();
             host.cell = listing.cell();
         }
         rosterAnswered();
     }
 
-    private void enrol(Host host) {
-        hosts.put(host.id, host);
-        seats.enrol(host, roll);
+    @Override
+    public void hostByHand(HostId at, boolean out) {
+        Host host = known(at);
+        if (!out && host.byHand) {
+            // Staff restart what they take out: it is cold, and what it did before tells nothing.
+            host.back = true;
+            host.startsAnew(now);
+        }
+        turn(host, host.state, out);
+    }
+
+    private void turn(Host host, Listing.State state, boolean byHand) {
+        boolean leaving = host.leaving();
+        host.state = state;
+        host.byHand = byHand;
+        if (host.leaving() && !leaving) {
+            departures.addAll(host.own.values(), now, DRAIN * PERIOD);
+        }
+    }
+
+    private Host known(HostId id) {
+        return hosts.computeIfAbsent(id, name -> seats.enrol(new Host(name), roll));
     }
 
     private void rosterAnswered() {
@@ -266,15 +267,11 @@
     @Override
     public void tunnelStanding(TunnelId id, ProfileId profile, ParticipantId participant, SubjectId subject,
                                GroupId group, HostId at) {
-        Host host = hosts.get(at);
         Profile row = profiles.get(profile);
         if (row == null || table.containsKey(id)) {
             return;
         }
-        if (host == null) {
-            host = new Host(at);
-            enrol(host);
-        }
+        Host host = known(at);
         stood = true;
         Tunnel tunnel = new Tunnel(id, row, subject, group, Double.POSITIVE_INFINITY);
         tunnel.setups = 1;
@@ -282,7 +279,7 @@
         tunnel.host = host;
         host.admit(tunnel);
         table.put(id, tunnel);
-        if (farewell.begun() || host.state == Listing.State.DRAINING) {
+        if (farewell.begun() || host.leaving()) {
             departures.add(tunnel);
         }
     }
@@ -296,7 +293,7 @@
             pace.ended(now, false);
             tunnel.open = true;
             tunnel.host.failuresInRow = 0;
-            if (farewell.begun() || tunnel.host.state == Listing.State.DRAINING) {
+            if (farewell.begun() || tunnel.host.leaving()) {
                 departures.add(tunnel);
             }
         }
@@ -718,7 +715,7 @@
             return next;
         }
         for (Host host : roll) {
-            if (host.here() && !host.probing) {
+            if (host.here() && !host.byHand && !host.probing) {
                 if (now >= host.nextProbe) {
                     ask(host, false);
                     host.nextProbe = now + round * (0.9 + 0.2 * chance.next());
@@ -894,6 +891,8 @@
         final HostId id;
         final Map<TunnelId, Tunnel> own = new LinkedHashMap<>();
         boolean listed;
+        /** Whether staff have taken it out: no list brings it back, only they do. */
+        boolean byHand;
         Listing.State state = Listing.State.GONE;
         ZoneId zone;
         int cell;
@@ -914,7 +913,7 @@
         boolean away;
         double nextNoted = Double.NEGATIVE_INFINITY;
         boolean probing;
-        double nextProbe = Double.POSITIVE_INFINITY;
+        double nextProbe = now;
 
         Host(HostId id) {
             this.id = id;
@@ -926,6 +925,7 @@
             reportedAt = Double.NEGATIVE_INFINITY;
             shunnedUntil = now;
             failuresInRow = 0;
+            nextProbe = now;
         }
 
         boolean here() {
@@ -933,7 +933,11 @@
         }
 
         boolean takesNew() {
-            return listed && state == Listing.State.READY;
+            return listed && state == Listing.State.READY && !byHand;
+        }
+
+        boolean leaving() {
+            return byHand || state == Listing.State.DRAINING;
         }
 
         boolean near() {
--- a/core/src/main/java/embershift/policy/Seats.java
+++ b/core/src/main/java/embershift/policy/Seats.java
@@ -17,13 +17,14 @@
     private Host[] seats = new Host[LEAST];
 
     /** Keeps the roll in one order at all nodes, so that the intervals of the draw lie alike. */
-    void enrol(Host host, List<Host> roll) {
+    Host enrol(Host host, List<Host> roll) {
         int at = 0;
         while (at < roll.size() && roll.get(at).id.name().compareTo(host.id.name()) < 0) {
             at++;
         }
         roll.add(at, host);
         fill(roll);
+        return host;
     }
 
     /** Seats all hosts anew; at least half of the seats stay empty. */
--- a/core/src/test/java/embershift/policy/PolicyTest.java
+++ b/core/src/test/java/embershift/policy/PolicyTest.java
@@ -504,6 +504,48 @@
         assertEquals(node.later(0.8), 15, 1);
     }
 
+    @Test
+    public void hostOutByHandGetsNothingWhateverTheListSaysUntilItIsCalledBack() {
+        Node node = new Node(2).loads(0.1, 0.1);
+        node.stand(100, 30, 0);
+        node.round(news -> news.hostByHand(Node.host(0), true));
+        assertEquals(node.later(1.6), 30, 1);
+        node.round(news -> news.hostByHand(Node.host(0), true));
+        Listing gone = Node.listing(0, Listing.State.GONE, 0);
+        Listing back = Node.listing(0, Listing.State.READY, 101);
+        Listing other = Node.listing(1, Listing.State.READY, 0);
+        node.round(news -> news.rosterChanged(List.of(gone)));
+        node.round(news -> news.rosterListed(List.of(other), false));
+        node.round(news -> news.rosterListed(List.of(back, other), false));
+        node.loads(0.0, 0.1);
+        node.arrive(0, 20, null);
+        assertEquals(node.sentTo(0), 0);
+        node.end(0, 0, 1, SetupEnd.NO_CONNECTION);
+        assertEquals(node.sentTo(0), 0);
+        assertEquals(node.policy.listed(true), 1);
+        node.now += 9;
+        node.round(news -> news.hostByHand(Node.host(0), false));
+        node.loads(0.0, 0.1);
+        assertEquals(node.policy.listed(true), 0);
+        node.arrive(20, 50, null);
+        assertTrue(node.sentTo(0) <= 1, "it is cold, however long ago the list says that it started");
+    }
+
+    @Test
+    public void hostTakenBackIsNotHeldToWhatItDidBefore() {
+        Node node = new Node(1).loads(0.1);
+        node.arrive(0, 1, null);
+        node.end(0, 0, 0, SetupEnd.ERROR);
+        node.round(news -> news.hostByHand(Node.host(0), true));
+        node.arrive(1, 1, null);
+        assertEquals(node.count("decline"), 1);
+        node.round(news -> news.hostByHand(Node.host(0), false));
+        node.now += 9;
+        node.loads(0.0);
+        node.arrive(2, 1, null);
+        assertEquals(node.lastHost(), 0);
+    }
+
     @Test
     public void tunnelThatOpensOrIsFoundAtADrainingHostIsMovedToo() {
         Node node = new Node(2).loads(0.1, 0.1);
--- a/node/src/main/java/embershift/operations/Desk.java
+++ b/node/src/main/java/embershift/operations/Desk.java
@@ -1,5 +1,6 @@
 package embershift.operations;
 
+import embershift.model.HostId;
 import embershift.model.ProfileId;
 import embershift.protocol.HttpAnswer;
 import embershift.protocol.HttpRequest;
@@ -34,6 +35,8 @@
             only("GET", call, answer, this::ready);
         } else if (path.size() == 2 && name.equals("telemetry")) {
             only("GET", call, answer, this::telemetry);
+        } else if (path.size() == 3 && (name.equals("exclude") || name.equals("include"))) {
+            only("POST", call, answer, then -> byHand(new HostId(path.get(2)), name.equals("exclude"), then));
         } else {
             answer.accept(HttpAnswer.error(404, "no such call"));
         }
@@ -53,6 +56,13 @@
                 : HttpAnswer.error(503, "this node takes no clients now"));
     }
 
+    private void byHand(HostId host, boolean out, Consumer<HttpAnswer> answer) {
+        String word = Json.quoted(host.name());
+        router.byHand(host, out, known -> answer.accept(known
+                ? HttpAnswer.of(200, "{\"host\":" + word + ",\"out\":" + out + "}")
+                : HttpAnswer.error(404, "no host " + host.name() + " is known here")));
+    }
+
     private void telemetry(Consumer<HttpAnswer> answer) {
         Tally tally = router.tally();
         StringBuilder out = new StringBuilder("{\"operations\":{");
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -139,6 +139,20 @@
         return passages.isEmpty();
     }
 
+    /**
+     * Staff take a host out, or back; {@code done} hears once that holds, with false where no list and no ban has
+     * named such a host, of which nothing is kept.
+     */
+    public void byHand(HostId host, boolean out, Consumer<Boolean> done) {
+        boolean known = contacts.containsKey(host);
+        if (known) {
+            hear(news -> news.hostByHand(host, out));
+            log.accept("by hand: " + host.name() + (out ? " out" : " back"));
+        }
+        // Behind the round that takes it.
+        loop.execute(() -> done.accept(known));
+    }
+
     /** Tunnels taken and not ended. */
     public int openTunnels() {
         return passages.size();
@@ -353,8 +367,8 @@
         page.addresses().forEach((host, address) ->
                 contacts.computeIfAbsent(host, id -> new Contact(this, id)).reachedAt(address));
         for (Listing listing : page.listings()) {
-            Contact contact = contacts.get(listing.host());
-            if (contact != null && listing.state() == Listing.State.GONE) {
+            Contact contact = contacts.computeIfAbsent(listing.host(), id -> new Contact(this, id));
+            if (listing.state() == Listing.State.GONE) {
                 contact.hangUp();
             }
         }
--- a/node/src/test/java/embershift/operations/OperatorsTest.java
+++ b/node/src/test/java/embershift/operations/OperatorsTest.java
@@ -167,6 +167,23 @@
         assertEquals(call("GET", "nowhere").status(), 400);
     }
 
+    @Test
+    public void hostOutByHandIsNotUsedOnceTheNodeHasSaidYes() throws Exception {
+        ServerSocket host = host();
+        start(1024, host);
+        assertEquals(call("GET", "/api/exclude/s0").status(), 405);
+        assertEquals(call("POST", "/api/exclude/unheard%22of").status(), 404);
+        for (int i = 0; i < 2; i++) {
+            assertEquals(call("POST", "/api/exclude/s0").status(), 200);
+        }
+        assertTrue(hear(talk(clients, "OPEN a k c=p\"q,d=3000\r\n")).startsWith("BUSY"));
+        telemetryBecomes(figures(0, 1, 0, 0, 0, 1));
+        for (int i = 0; i < 2; i++) {
+            assertEquals(call("POST", "/api/include/s%30").status(), 200);
+        }
+        telemetryBecomes(figures(0, 1, 0, 0, 0, 0));
+    }
+
     @Test
     public void figuresCountEachTunnelOnceByItsAnswer() throws Exception {
         ServerSocket host = host();
