The process is replaced under way: shared address, bans cross, cold hosts learned from fill

Change: SharingProvider sets SO_REUSEPORT between open and bind, XNIO's server stays; Neighbours (lock file, a byte for each serving process, freed by the kernel) tells a replacement from a stop; BanList and Bans carry hosts out by hand over; both processes share the descriptors; the one that leaves closes its listener, answers what it has read, moves at once. Cause, traced: with the hosts released meanwhile all that remained was cold, and a node's part of a cold host's budget was what ended on its warm hosts in a second: nothing, for a process ten seconds old with tunnels of minutes. Ruled out: the roster (both followed it), bans (one host), failures (one host shunned). Change: Filling, how many tunnels fill a host by the reports; a cold host takes that over its warm-up, times its part and the multiple; told to the process that follows; at least one tunnel from all nodes in the time for which it may be pushed.

--- a/core/src/main/java/embershift/model/News.java
+++ b/core/src/main/java/embershift/model/News.java
@@ -56,6 +56,9 @@
 
     void nodeHeard(int node, byte[] content);
 
-    /** This node is to stop soon: its front sends it new tunnels only for a moment more. */
-    void nodeLeaving();
+    /**
+     * This node is to stop soon: its front sends it new tunnels only for a moment more, or, where it is {@code replaced},
+     * to another process that serves at its address already.
+     */
+    void nodeLeaving(boolean replaced);
 }
--- a/core/src/main/java/embershift/policy/Farewell.java
+++ b/core/src/main/java/embershift/policy/Farewell.java
@@ -41,9 +41,14 @@
     }
 
     /** Leaving has begun, with these tunnels, whose clients wait no longer than that. */
-    void begin(Collection<Tunnel> tunnels, double now, double longestTimeout, boolean mayAsk) {
+    void begin(Collection<Tunnel> tunnels, double now, double longestTimeout, boolean mayAsk, boolean replaced) {
         begun = true;
         double stay = Math.min(LONGEST_STAY * period, longestTimeout);
+        if (replaced) {
+            // Who takes them is here, and no front has to notice: all the time is theirs.
+            departures.addAll(tunnels, now, stay);
+            return;
+        }
         answerFrom = now + FRONT_LAG * period;
         departures.addAll(tunnels, now + HELD * stay, stay - HELD * stay);
         if (mayAsk) {
--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -114,29 +114,26 @@
     private final Ring opened = new Ring(4, PERIOD / 2);
     private final Ring completed = new Ring(8, 2 * PERIOD);
     private double warmHostCanTake;
-
     private final Deque<Tunnel> waiting = new ArrayDeque<>();
     private final Pace pace = new Pace(PERIOD);
-
     /** What a tunnel adds to a host's load figure in the mean: an empty host can't tell it by its own. */
     private double usualLoadOfOne;
     private double usualLoad;
-
+    private final Filling filling;
     private final Departures departures = new Departures();
     private final Farewell farewell = new Farewell(departures, PERIOD);
-
     private double now = Double.NEGATIVE_INFINITY;
     private Decisions decisions;
     private final Chance chance;
     private double wokenAt = Double.POSITIVE_INFINITY;
-
     private boolean watching;
     private double rosterCallAt = Double.POSITIVE_INFINITY;
     private double rosterPatience;
     private double rosterLostAt;
 
-    public Policy(Deployment deployment) {
+    public Policy(Deployment deployment, Filling filling) {
         this.deployment = deployment;
+        this.filling = filling;
         this.chance = new Chance(deployment.seed());
         this.partings = new Partings(deployment.parkedFor());
         this.rosterPatience = deployment.mustAskWithin() / 4;
@@ -616,6 +613,7 @@
         List<Host> healthy = new ArrayList<>();
         active = 0;
         nearTake = false;
+        filling.begin();
         for (Host host : roll) {
             if (host.takesNew()) {
                 active++;
@@ -623,6 +621,7 @@
                 reachable += host.silent() ? 0 : 1;
                 if (!host.silent() && !host.shunned()) {
                     healthy.add(host);
+                    filling.add(host);
                     nearTake |= host.near();
                 }
             }
@@ -663,7 +662,9 @@
         double inflow = arrived.rate(now) * PERIOD * usualLoadOfOne;
         admitted = !known || fewHeard || room >= inflow ? 1 : room / inflow;
         // With all hosts new at once, what ended did so on as many others.
-        warmHostCanTake = completed.rate(now) / Math.max(1, warm > 0 ? warm : active) / load;
+        // Where tunnels last long, what ends tells too little: a host takes what fills it over its warm-up.
+        warmHostCanTake = Math.max(completed.rate(now) / Math.max(1, warm > 0 ? warm : active) / load,
+                filling.aSecond(young()));
     }
 
     /** Whether the node has started among others: its own tunnels are no measure of all that there are. */
@@ -857,9 +858,9 @@
 
     /** Moved at once, clients would come back here or come as a wave: they go in turn, over all the time. */
     @Override
-    public void nodeLeaving() {
+    public void nodeLeaving(boolean replaced) {
         double longest = profiles.values().stream().mapToDouble(Profile::clientTimeout).max().orElse(0);
-        farewell.begin(table.values(), now, longest, deployment.mayTellNodes());
+        farewell.begin(table.values(), now, longest, deployment.mayTellNodes(), replaced);
     }
 
     private void moveDeparting() {
--- a/core/src/main/java/embershift/policy/Warming.java
+++ b/core/src/main/java/embershift/policy/Warming.java
@@ -42,7 +42,10 @@
     boolean mayTake(double now, double warmHostCanTake) {
         double climbed = 1 - (until - now) / deployment.warmAfter();
         double part = deployment.coldFrom() + (1 - deployment.coldFrom()) * Math.max(0, climbed);
-        double rate = deployment.fallMultiple() * part * warmHostCanTake;
+        // A node that knows of nothing that ended would never send it anything: one tunnel from all nodes together in
+        // the time for which it may be pushed harms no host.
+        double rate = Math.max(deployment.fallMultiple() * part * warmHostCanTake,
+                1 / (deployment.fallAfter() * deployment.nodes()));
         double most = Math.max(1, rate * deployment.fallAfter());
         credit = Math.min(credit + rate * (now - creditAt), most);
         creditAt = now;
--- a/core/src/test/java/embershift/policy/Node.java
+++ b/core/src/test/java/embershift/policy/Node.java
@@ -31,8 +31,9 @@
 
     Node(Repeat repeat, DedupScope scope, int hosts, long seed) {
         Profile profile = new Profile(new ProfileId("p"), repeat, scope, 2, 0.5, 3, 1);
-        policy = new Policy(new Deployment(seed, 1, new ZoneId("near"), List.of(profile), true, 10,
-                true, true, true, true, false, 4, true, 1.5, 0.25, 0.016, 0.5, 0.3, 8, 3, 2, false, 0));
+        Deployment deployment = new Deployment(seed, 1, new ZoneId("near"), List.of(profile), true, 10,
+                true, true, true, true, false, 4, true, 1.5, 0.25, 0.016, 0.5, 0.3, 8, 3, 2, false, 0);
+        policy = new Policy(deployment, new Filling(deployment));
         List<Listing> listings = new ArrayList<>();
         for (int i = 0; i < hosts; i++) {
             listings.add(listing(i, Listing.State.READY, 0));
--- a/core/src/test/java/embershift/policy/PolicyTest.java
+++ b/core/src/test/java/embershift/policy/PolicyTest.java
@@ -563,7 +563,7 @@
     public void nodeThatLeavesDeclinesAndMovesOnceTheFrontSendsNoMore() {
         Node node = new Node(2).loads(0.1, 0.1);
         node.stand(0, 30, 0);
-        node.round(News::nodeLeaving);
+        node.round(news -> news.nodeLeaving(false));
         assertEquals(node.count("move"), 0);
         assertEquals(node.arrive(100, 1, null).get(0), "decline t100 with advice");
         assertEquals(node.later(0.3), 0);
@@ -577,7 +577,7 @@
     public void nodeThatLeavesKeepsItsTunnelsWhileNoOtherIsHere() {
         Node node = new Node(2).loads(0.1, 0.1);
         node.stand(0, 30, 0);
-        assertEquals(node.round(News::nodeLeaving).get(0), "tell all");
+        assertEquals(node.round(news -> news.nodeLeaving(false)).get(0), "tell all");
         node.round(news -> news.nodeHeard(0, new byte[] {1}));
         assertEquals(node.count("tell 0"), 0, "it is about to go itself");
         assertEquals(node.later(1), 0);
@@ -589,6 +589,15 @@
         assertTrue(new Node(2).round(news -> news.nodeHeard(3, new byte[] {1})).contains("tell 3"));
     }
 
+    @Test
+    public void nodeThatIsReplacedMovesItsTunnelsAtOnceOverAllItsTime() {
+        Node node = new Node(2).loads(0.1, 0.1);
+        node.stand(0, 30, 0);
+        assertFalse(node.round(news -> news.nodeLeaving(true)).contains("tell all"));
+        assertEquals(node.later(1.5), 15, 1);
+        assertEquals(node.later(1.5), 15, 1);
+    }
+
     @Test
     public void nodeThatHasJustStartedDoesNotFillTheFirstHostThatItHearsFrom() {
         Node node = new Node(4).loads(0.01);
@@ -617,7 +626,7 @@
         Node node = new Node(2).loads(0.1, 0.1);
         node.arrive(0, 1, null);
         int host = node.lastHost();
-        node.round(News::nodeLeaving);
+        node.round(news -> news.nodeLeaving(false));
         node.now += 2.5;
         node.round(news -> news.tunnelOpened(Node.tun(0), 0, Node.host(host), 2.5));
         assertEquals(node.count("move t0"), 1);
--- a/emulator/src/main/java/embershift/emulator/baseline/Baselines.java
+++ b/emulator/src/main/java/embershift/emulator/baseline/Baselines.java
@@ -3,6 +3,7 @@
 import embershift.emulator.world.Module;
 import embershift.model.Deployment;
 import embershift.model.HostId;
+import embershift.policy.Filling;
 import embershift.policy.Policy;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -21,7 +22,7 @@
     private static final Map<String, Module.Maker> MAKERS = new LinkedHashMap<>();
 
     static {
-        MAKERS.put(OWN, (deployment, truth) -> new Policy(deployment)::round);
+        MAKERS.put(OWN, (deployment, truth) -> new Policy(deployment, new Filling(deployment))::round);
         MAKERS.put("random", (deployment, truth) -> new Plain(deployment, random(deployment)));
         MAKERS.put("round-robin", (deployment, truth) -> new Plain(deployment, roundRobin(deployment)));
         MAKERS.put("least", (deployment, truth) -> new Plain(deployment, least(deployment)));
--- a/emulator/src/main/java/embershift/emulator/baseline/Plain.java
+++ b/emulator/src/main/java/embershift/emulator/baseline/Plain.java
@@ -324,7 +324,7 @@
     }
 
     @Override
-    public void nodeLeaving() {
+    public void nodeLeaving(boolean replaced) {
         rows.values().stream().filter(row -> row.open).toList().forEach(row -> decisions.move(row.id));
     }
 }
--- a/emulator/src/main/java/embershift/emulator/sockets/NodeStand.java
+++ b/emulator/src/main/java/embershift/emulator/sockets/NodeStand.java
@@ -37,7 +37,7 @@
         loop.execute(() -> {
             try {
                 Router router = new Router(loop, read, line -> { });
-                router.listen(read.listen());
+                router.listen(read.listen(), false);
                 started.complete(router);
             } catch (IOException | RuntimeException e) {
                 started.completeExceptionally(e);
@@ -54,7 +54,7 @@
 
             @Override
             public void leave() {
-                loop.execute(router::leave);
+                loop.execute(() -> router.leave(false));
             }
 
             @Override
--- a/emulator/src/main/java/embershift/emulator/world/Host.java
+++ b/emulator/src/main/java/embershift/emulator/world/Host.java
@@ -309,9 +309,14 @@
         return pushRate * Math.exp((pushRateAt - now) / smoothing());
     }
 
-    /** Tunnels a second that can be sent to it now without pushing it over. */
+    /**
+     * Tunnels a second that can be sent to it now without pushing it over: a multiple of what fills it, as far as it is
+     * warm, over its warm-up, or over a tunnel's life where that is shorter. By life alone, hosts with tunnels of minutes
+     * could be sent almost nothing; the operators' simulator, hunted for days that break the rule, is nowhere near that.
+     */
     private double allowed() {
-        return day.rules().fallMultiple() * warmed() * nominal() * day.traffic().perCore() / day.traffic().life();
+        return day.rules().fallMultiple() * warmed() * nominal() * day.traffic().perCore()
+                / Math.min(day.traffic().life(), day.host().warmAfter());
     }
 
     /** Setups that it could still be sent at this moment. */
--- a/emulator/src/main/java/embershift/emulator/world/NodeShell.java
+++ b/emulator/src/main/java/embershift/emulator/world/NodeShell.java
@@ -204,7 +204,7 @@
 
     void leave() {
         leaving = true;
-        hear(News::nodeLeaving);
+        hear(news -> news.nodeLeaving(false));
     }
 
     void datagram(int from, byte[] content) {
--- a/node/src/main/java/embershift/adapter/Adapter.java
+++ b/node/src/main/java/embershift/adapter/Adapter.java
@@ -1,7 +1,9 @@
 package embershift.adapter;
 
+import embershift.policy.Filling;
 import embershift.policy.Policy;
 import embershift.model.GroupId;
+import embershift.model.Deployment;
 import embershift.model.HostId;
 import embershift.model.Listing;
 import embershift.model.News;
@@ -151,7 +153,8 @@
         if (word.equals("SPAWN")) {
             long seed = line.wide("rng-seed");
             FirstMessage first = new FirstMessage(line);
-            instances.put(who, new Instance(new Policy(first.deployment(seed)), first.reportColumns()));
+            Deployment deployment = first.deployment(seed);
+            instances.put(who, new Instance(new Policy(deployment, new Filling(deployment)), first.reportColumns()));
             stirred.remove(who);
             stirred.put(who, instances.get(who));
             return;
--- a/node/src/main/java/embershift/operations/Callers.java
+++ b/node/src/main/java/embershift/operations/Callers.java
@@ -13,6 +13,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.IntSupplier;
 
 /**
  * Listens for operators: one call to a connection. Who holds a connection without a whole call keeps nobody out: their
@@ -28,16 +29,16 @@
     private final Loop loop;
     private final Desk desk;
     private final Tally tally;
-    private final int sockets;
+    private final IntSupplier most;
     /** Those without a whole call, oldest first. */
     private final Set<Caller> waiting = new LinkedHashSet<>();
 
-    /** {@code sockets}: descriptors that the process may hold. */
-    public Callers(Loop loop, Desk desk, Tally tally, int sockets) {
+    /** {@code most}: descriptors that the process may hold now. */
+    public Callers(Loop loop, Desk desk, Tally tally, IntSupplier most) {
         this.loop = loop;
         this.desk = desk;
         this.tally = tally;
-        this.sockets = sockets;
+        this.most = most;
     }
 
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
@@ -52,7 +53,7 @@
         while (waiting.size() >= MOST) {
             giveWay();
         }
-        while (loop.descriptors() > sockets - 2) {
+        while (loop.descriptors() > most.getAsInt() - 2) {
             if (!loop.closeLingering() && !giveWay()) {
                 return false;
             }
--- a/node/src/main/java/embershift/operations/Desk.java
+++ b/node/src/main/java/embershift/operations/Desk.java
@@ -19,11 +19,13 @@
     private static final String ROOT = "api";
 
     private final Router router;
+    private final Bans bans;
     private final BooleanSupplier ready;
 
     /** {@code ready} says whether clients are taken now. */
-    public Desk(Router router, BooleanSupplier ready) {
+    public Desk(Router router, Bans bans, BooleanSupplier ready) {
         this.router = router;
+        this.bans = bans;
         this.ready = ready;
     }
 
@@ -57,10 +59,12 @@
     }
 
     private void byHand(HostId host, boolean out, Consumer<HttpAnswer> answer) {
-        String word = Json.quoted(host.name());
-        router.byHand(host, out, known -> answer.accept(known
-                ? HttpAnswer.of(200, "{\"host\":" + word + ",\"out\":" + out + "}")
-                : HttpAnswer.error(404, "no host " + host.name() + " is known here")));
+        if (!router.knows(host)) {
+            answer.accept(HttpAnswer.error(404, "no host " + host.name() + " is known here"));
+            return;
+        }
+        bans.change(host, out, kept -> answer.accept(HttpAnswer.of(200, "{\"host\":" + Json.quoted(host.name())
+                + ",\"out\":" + out + ",\"kept\":" + kept + "}")));
     }
 
     private void telemetry(Consumer<HttpAnswer> answer) {
--- a/node/src/main/java/embershift/program/Service.java
+++ b/node/src/main/java/embershift/program/Service.java
@@ -1,6 +1,7 @@
 package embershift.program;
 
 import embershift.model.Deployment;
+import embershift.operations.Bans;
 import embershift.operations.Callers;
 import embershift.operations.Desk;
 import embershift.protocol.NodeConfiguration;
@@ -30,6 +31,7 @@
     private static final double MOST_STAY = 0.45;
     private static final double LONGEST_WAIT = 3.0;
     private static final double LOOK = 0.02;
+    private static final double LOOK_AT_NEIGHBOURS = 0.1;
     /** Seconds for which last words may still go out. */
     private static final double LAST_WORDS = 0.1;
 
@@ -46,6 +48,10 @@
     private Loop loop;
     private Router router;
     private double leavingSince;
+    private double leastStay;
+    private Bans bans;
+    /** Null where operators have no address, or there is no folder for it. */
+    private volatile Neighbours neighbours;
 
     Service(Source source, Log log) throws Unreadable {
         this.source = source;
@@ -75,8 +81,18 @@
     private void serve(CompletableFuture<InetSocketAddress> serving) {
         try {
             router = new Router(loop, configuration, log::line);
-            listenForOperators();
-            InetSocketAddress address = router.listen(configuration.listen());
+            boolean operated = configuration.management() != null;
+            if (operated) {
+                listenForOperators();
+            }
+            InetSocketAddress address = router.listen(configuration.listen(), operated);
+            if (neighbours != null) {
+                // Before the yes: at that the other process may be told to leave, and must see who is here.
+                neighbours.serve();
+                bans.follow(neighbours.read());
+                heed(neighbours.exchange(new Neighbours.Word(loop.descriptors(), 0)));
+                lookAtNeighbours();
+            }
             enter(Phase.SERVING);
             log.line("listening on " + address.getHostString() + ":" + address.getPort());
             serving.complete(address);
@@ -87,11 +103,32 @@
 
     /** First of all: while the node starts, operators hear a no, not nothing. */
     private void listenForOperators() throws IOException {
-        if (configuration.management() != null) {
-            Desk desk = new Desk(router, () -> phase == Phase.SERVING);
-            InetSocketAddress address = new Callers(loop, desk, router.tally(), configuration.sockets())
-                    .listen(configuration.management());
-            log.line("operators call " + address.getHostString() + ":" + address.getPort());
+        InetSocketAddress listen = configuration.listen();
+        neighbours = Neighbours.in(System.getenv("TMPDIR"), listen.getHostString() + ":" + listen.getPort(), log::line);
+        bans = new Bans(loop, router, neighbours);
+        Desk desk = new Desk(router, bans, () -> phase == Phase.SERVING);
+        InetSocketAddress address = new Callers(loop, desk, router.tally(), router::mostDescriptors)
+                .listen(configuration.management());
+        log.line("operators call " + address.getHostString() + ":" + address.getPort());
+    }
+
+    /** While another process serves at this address, both go by the same bans and share the descriptors. */
+    private void lookAtNeighbours() {
+        Neighbours.Word mine = new Neighbours.Word(loop.descriptors(), router.tunnelsThatFill());
+        loop.aside(() -> {
+            List<Neighbours.Word> others = neighbours.exchange(mine);
+            loop.execute(() -> {
+                heed(others);
+                loop.after(LOOK_AT_NEIGHBOURS, this::lookAtNeighbours);
+            });
+        });
+    }
+
+    private void heed(List<Neighbours.Word> others) {
+        router.heldElsewhere(others.stream().mapToInt(Neighbours.Word::descriptors).sum());
+        others.forEach(other -> router.toldOfFilling(other.filling()));
+        if (!others.isEmpty()) {
+            bans.readAgain();
         }
     }
 
@@ -128,7 +165,8 @@
 
     /** Holds up the end of the program, as at SIGTERM, until all tunnels are elsewhere. */
     private void leaveAndWait() {
-        loop.execute(this::leave);
+        boolean replaced = neighbours != null && neighbours.replacesThis();
+        loop.execute(() -> leave(replaced));
         try {
             stopped.await((long) (mostStay() + 1), TimeUnit.SECONDS);
         } catch (InterruptedException e) {
@@ -142,18 +180,22 @@
         return Math.min(LONGEST_WAIT, longest) + MOST_STAY;
     }
 
-    private void leave() {
+    private void leave(boolean replaced) {
         if (phase == Phase.SERVING) {
             enter(Phase.LEAVING);
+            if (replaced) {
+                log.line("another process serves at this address");
+            }
             leavingSince = loop.now();
-            router.leave();
+            leastStay = replaced ? 0 : LEAST_STAY;
+            router.leave(replaced);
             lookWhetherEmpty();
         }
     }
 
     private void lookWhetherEmpty() {
         double stayed = loop.now() - leavingSince;
-        if (stayed > mostStay() || stayed > LEAST_STAY && router.empty()) {
+        if (stayed > mostStay() || stayed > leastStay && router.empty()) {
             enter(Phase.CLOSING);
             router.stop();
             loop.after(LAST_WORDS, this::stop);
--- /dev/null
+++ b/node/src/main/java/embershift/protocol/BanList.java
@@ -0,0 +1,55 @@
+package embershift.protocol;
+
+import embershift.model.HostId;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.zip.CRC32;
+
+/** The hosts out by hand as a text that one process leaves for the next: a version, a checksum and the ids. */
+public final class BanList {
+
+    private static final String HEAD = "embershift-bans 1 ";
+    /** Hosts that may be out at one time, and characters of their text. */
+    public static final int MOST = 4096;
+    public static final int LONGEST = 1 << 20;
+
+    private BanList() {
+    }
+
+    public static String write(Collection<HostId> bans) {
+        String ids = bans.stream().map(host -> Json.quoted(host.name())).collect(Collectors.joining(",", "[", "]"));
+        return HEAD + checksum(ids) + "\n" + ids + "\n";
+    }
+
+    /** Fails where the text was cut, changed or written by another version. */
+    public static Set<HostId> read(String text) throws Unreadable {
+        String[] lines = text.split("\n", -1);
+        if (lines.length != 3 || !lines[2].isEmpty() || !lines[0].startsWith(HEAD)) {
+            throw new Unreadable("no list of hosts out by hand of this version");
+        }
+        if (!lines[0].substring(HEAD.length()).equals(checksum(lines[1]))) {
+            throw new Unreadable("the list of hosts out by hand is damaged");
+        }
+        Set<HostId> bans = new LinkedHashSet<>();
+        if (!(Json.read(lines[1]) instanceof List<?> ids) || ids.size() > MOST) {
+            throw new Unreadable("no list of hosts out by hand");
+        }
+        for (Object id : new ArrayList<>(ids)) {
+            bans.add(new HostId(String.valueOf(id)));
+        }
+        return bans;
+    }
+
+    private static String checksum(String text) {
+        CRC32 crc = new CRC32();
+        crc.update(text.getBytes(StandardCharsets.UTF_8));
+        return String.format(Locale.ROOT, "%08x", crc.getValue());
+    }
+}
--- a/node/src/main/java/embershift/routing/Passage.java
+++ b/node/src/main/java/embershift/routing/Passage.java
@@ -66,7 +66,7 @@
     private void take(byte[] line) throws Unreadable {
         String text = Line.text(line);
         if (text.equals("PING")) {
-            if (router.leaving()) {
+            if (router.stopping()) {
                 throw new Unreadable("this node stops");
             }
             if (++pings > MOST_PINGS) {
--- a/node/src/main/java/embershift/routing/Peers.java
+++ b/node/src/main/java/embershift/routing/Peers.java
@@ -24,7 +24,14 @@
         this.router = router;
         reachedBy(configuration);
         socket = configuration.peerListen() == null ? null
-                : router.loop().datagrams(configuration.peerListen(), this::received);
+                : router.loop().datagrams(configuration.peerListen(), configuration.management() != null, this::received);
+    }
+
+    /** Hears and says nothing more: another process does, at the same address. */
+    void close() {
+        if (socket != null) {
+            socket.close();
+        }
     }
 
     /** Where the other nodes are, at the start and when that has changed. */
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -1,5 +1,6 @@
 package embershift.routing;
 
+import embershift.policy.Filling;
 import embershift.policy.Policy;
 import embershift.model.Decisions;
 import embershift.model.Deployment;
@@ -55,6 +56,7 @@
 
     private final Loop loop;
     private final Deployment deployment;
+    private final Filling filling;
     private final Policy module;
     private final Consumer<String> log;
     private final Tally tally;
@@ -74,6 +76,12 @@
     /** Places in the code whose faults have been told: each is told once. */
     private final Set<String> faultsTold = new HashSet<>();
     private boolean leaving;
+    private boolean replaced;
+    private Loop.Listening listening;
+    /** Whether operators have an address, and so descriptors of their own. */
+    private final boolean operators;
+    private int descriptors;
+    private int heldElsewhere;
     private int listedHosts;
     private int avoidedHosts;
 
@@ -81,12 +89,16 @@
         this.loop = loop;
         this.log = log;
         deployment = configuration.deployment();
-        module = new Policy(deployment);
+        filling = new Filling(deployment);
+        module = new Policy(deployment, filling);
         tally = new Tally(deployment);
         connectTimeout = deployment.connectTimeout() > 0 ? deployment.connectTimeout() : 0.25;
         slowMessage = SLOW_MESSAGE * deployment.profiles().stream()
                 .mapToDouble(Deployment.Profile::setupGoal).min().orElse(1);
-        strangers = new Strangers(loop, tally, forTunnels(configuration));
+        operators = configuration.management() != null;
+        descriptors = configuration.sockets();
+        strangers = new Strangers(loop, tally);
+        limitStrangers();
         roster = new Roster(this, configuration.discovery());
         peers = new Peers(this, configuration);
         if (configuration.known() != null) {
@@ -106,51 +118,86 @@
         strangers.begin(new Passage(this, link));
     }
 
-    /** Listens for clients. */
-    public InetSocketAddress listen(InetSocketAddress address) throws IOException {
-        return loop.listen(address, strangers::mayAccept, this::accepted).address();
+    /** Listens for clients; {@code shared}: where another process may listen as well. */
+    public InetSocketAddress listen(InetSocketAddress address, boolean shared) throws IOException {
+        listening = loop.listen(address, shared, strangers::mayAccept, this::accepted);
+        return listening.address();
     }
 
     /** Goes by a new configuration, as far as that can change while tunnels stand. */
     public void reconfigure(NodeConfiguration next) {
         roster.moveTo(next.discovery());
         peers.reachedBy(next);
-        strangers.limit(forTunnels(next));
+        descriptors = next.sockets();
+        limitStrangers();
     }
 
-    /** Descriptors that are left once those for operators are put by. */
-    private static int forTunnels(NodeConfiguration configuration) {
-        return configuration.sockets() - (configuration.management() == null ? 0 : OPERATORS);
+    /** Tunnels that fill a host, as far as this process has learned: one that follows wants to know. */
+    public double tunnelsThatFill() {
+        return filling.tunnels();
     }
 
-    /** The node is to stop: the module moves what is here. */
-    public void leave() {
-        leaving = true;
-        hear(News::nodeLeaving);
+    /** What another process at this address has learned of that. */
+    public void toldOfFilling(double tunnels) {
+        filling.told(tunnels);
     }
 
-    /** Whether the node is about to stop: its front must not take it for one that has just started. */
-    boolean leaving() {
-        return leaving;
+    /** Descriptors that another process at this node's address holds: the limit is for both together. */
+    public void heldElsewhere(int many) {
+        if (many != heldElsewhere) {
+            heldElsewhere = many;
+            limitStrangers();
+        }
     }
 
-    /** Whether no tunnel is left. */
-    public boolean empty() {
-        return passages.isEmpty();
+    private void limitStrangers() {
+        strangers.limit(mostDescriptors() - (operators ? OPERATORS : 0));
+    }
+
+    /** Descriptors that this process may hold now. */
+    public int mostDescriptors() {
+        return descriptors - heldElsewhere;
     }
 
     /**
-     * Staff take a host out, or back; {@code done} hears once that holds, with false where no list and no ban has
-     * named such a host, of which nothing is kept.
+     * The node is to stop: the module moves what is here. Where it is replaced nothing more comes in here: what has been
+     * accepted is still read and answered, the rest finds the other process.
      */
-    public void byHand(HostId host, boolean out, Consumer<Boolean> done) {
-        boolean known = contacts.containsKey(host);
-        if (known) {
-            hear(news -> news.hostByHand(host, out));
-            log.accept("by hand: " + host.name() + (out ? " out" : " back"));
+    public void leave(boolean replaced) {
+        leaving = true;
+        this.replaced = replaced;
+        if (replaced) {
+            listening.close();
+            peers.close();
         }
+        hear(news -> news.nodeLeaving(replaced));
+    }
+
+    /**
+     * Whether the node is about to stop: its front must not take it for one that has just started. Where another process
+     * serves in its place it still is what the front takes it for.
+     */
+    boolean stopping() {
+        return leaving && !replaced;
+    }
+
+    /** Whether no tunnel is left, and where the node is replaced, nobody whose first line may still come. */
+    public boolean empty() {
+        return passages.isEmpty() && !(replaced && strangers.any());
+    }
+
+    /** Whether a list or a ban has named this host. */
+    public boolean knows(HostId host) {
+        return contacts.containsKey(host);
+    }
+
+    /** Staff take a host out, or back; {@code done} runs once that holds. */
+    public void byHand(HostId host, boolean out, Runnable done) {
+        contacts.computeIfAbsent(host, id -> new Contact(this, id));
+        hear(news -> news.hostByHand(host, out));
+        log.accept("by hand: " + host.name() + (out ? " out" : " back"));
         // Behind the round that takes it.
-        loop.execute(() -> done.accept(known));
+        loop.execute(done);
     }
 
     /** Tunnels taken and not ended. */
--- a/node/src/main/java/embershift/routing/Strangers.java
+++ b/node/src/main/java/embershift/routing/Strangers.java
@@ -21,13 +21,12 @@
     private int sockets;
     private final Ageing<Passage> waiting = new Ageing<>(FIRST_LINE);
 
-    Strangers(Loop loop, Tally tally, int sockets) {
+    Strangers(Loop loop, Tally tally) {
         this.loop = loop;
         this.tally = tally;
-        this.sockets = sockets;
     }
 
-    /** A new limit on descriptors. */
+    /** The limit on descriptors from now on. */
     void limit(int most) {
         sockets = most;
     }
@@ -36,6 +35,10 @@
         waiting.begin(passage, loop.now());
     }
 
+    boolean any() {
+        return waiting.oldest() != null;
+    }
+
     void end(Passage passage) {
         waiting.end(passage);
     }
--- a/node/src/main/java/embershift/transport/Datagrams.java
+++ b/node/src/main/java/embershift/transport/Datagrams.java
@@ -1,5 +1,6 @@
 package embershift.transport;
 
+import org.xnio.IoUtils;
 import org.xnio.channels.MulticastMessageChannel;
 import org.xnio.channels.SocketAddressBuffer;
 
@@ -45,6 +46,10 @@
         }
     }
 
+    public void close() {
+        IoUtils.safeClose(channel);
+    }
+
     public InetSocketAddress address() {
         return channel.getLocalAddress(InetSocketAddress.class);
     }
--- a/node/src/main/java/embershift/transport/Loop.java
+++ b/node/src/main/java/embershift/transport/Loop.java
@@ -28,6 +28,10 @@
 /** The one thread on which all of a node's sockets and timers are served, and its clock. */
 public final class Loop {
 
+    static {
+        SharingProvider.install();
+    }
+
     private static final OptionMap STREAM = OptionMap.create(Options.TCP_NODELAY, true);
     /** Descriptors that the program holds besides its sockets, where the machine can't tell. */
     private static final int USUAL_FILES = 64;
@@ -84,6 +88,15 @@
         }
     }
 
+    /** Runs the task, which may wait for a disk, on a thread of its own, one after the other. */
+    public void aside(Runnable task) {
+        try {
+            worker.execute(task);
+        } catch (RejectedExecutionException e) {
+            // The loop is stopping.
+        }
+    }
+
     /** A timer on the loop's thread. */
     public Timer after(double delay, Runnable task) {
         Delayed delayed = new Delayed(task, now() + delay);
@@ -166,13 +179,19 @@
         return true;
     }
 
+    /** As below, at an address of this process alone. */
+    public Listening listen(InetSocketAddress address, BooleanSupplier room, Consumer<Link> accepted)
+            throws IOException {
+        return listen(address, false, room, accepted);
+    }
+
     /**
      * Hands each connection that comes in to {@code accepted}; returns where it listens. Without
      * {@code room} connections wait at the system: an accept that fails for want of descriptors would have
-     * the library look away for up to half a minute.
+     * the library look away for up to half a minute. {@code shared}: other processes may listen there as well.
      */
-    public Listening listen(InetSocketAddress address, BooleanSupplier room, Consumer<Link> accepted)
-            throws IOException {
+    public Listening listen(InetSocketAddress address, boolean shared, BooleanSupplier room,
+                            Consumer<Link> accepted) throws IOException {
         ChannelListener<AcceptingChannel<StreamConnection>> listener = server -> {
             try {
                 // Between a few accepts all sockets get their turn: what has just come in is read before
@@ -196,9 +215,9 @@
         };
         AcceptingChannel<StreamConnection> server;
         try {
-            server = worker.createStreamConnectionServer(address, listener,
+            server = SharingProvider.opening(shared, () -> worker.createStreamConnectionServer(address, listener,
                     OptionMap.builder().addAll(STREAM).set(Options.BACKLOG, BACKLOG)
-                            .set(Options.REUSE_ADDRESSES, true).getMap());
+                            .set(Options.REUSE_ADDRESSES, true).getMap()));
         } catch (IOException e) {
             throw named(address, e);
         }
@@ -222,11 +241,18 @@
         return link;
     }
 
-    /** Opens a socket for datagrams. */
+    /** Opens a socket for datagrams at an address of this process alone. */
     public Datagrams datagrams(InetSocketAddress address, Datagrams.Arrival arrival) throws IOException {
+        return datagrams(address, false, arrival);
+    }
+
+    /** Opens a socket for datagrams; {@code shared}: other processes may receive there as well. */
+    public Datagrams datagrams(InetSocketAddress address, boolean shared, Datagrams.Arrival arrival)
+            throws IOException {
         opened();
         try {
-            return new Datagrams(worker.createUdpServer(address, OptionMap.EMPTY), arrival);
+            return new Datagrams(SharingProvider.opening(shared,
+                    () -> worker.createUdpServer(address, OptionMap.EMPTY)), arrival);
         } catch (IOException e) {
             throw named(address, e);
         }
--- a/node/src/test/java/embershift/operations/OperatorsTest.java
+++ b/node/src/test/java/embershift/operations/OperatorsTest.java
@@ -76,9 +76,10 @@
                 "127.0.0.1:0");
         on(() -> {
             router = new Router(loop, configuration, line -> { });
-            operators = new Callers(loop, new Desk(router, () -> ready), router.tally(), sockets)
+            operators = new Callers(loop, new Desk(router, new Bans(loop, router, null), () -> ready), router.tally(),
+                    router::mostDescriptors)
                     .listen(configuration.management());
-            clients = router.listen(configuration.listen());
+            clients = router.listen(configuration.listen(), false);
             return null;
         });
     }
--- /dev/null
+++ b/node/src/test/java/embershift/program/ReplaceTest.java
@@ -0,0 +1,236 @@
+package embershift.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import embershift.model.HostId;
+import embershift.protocol.BanList;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** Two processes at one address: one takes over from the other. */
+public class ReplaceTest {
+
+    private static final int PATIENCE_MS = 15_000;
+
+    private Path folder;
+    private ServerSocket host;
+    private final List<Process> processes = new ArrayList<>();
+
+    @BeforeMethod
+    public void begin() throws IOException {
+        folder = Files.createTempDirectory("embershift");
+        host = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterMethod
+    public void end() throws IOException {
+        processes.forEach(Process::destroyForcibly);
+        processes.clear();
+        host.close();
+        for (File file : folder.toFile().listFiles()) {
+            Files.delete(file.toPath());
+        }
+        Files.delete(folder);
+    }
+
+    /** Holds a port so that nobody else takes it, and lets processes of this test share it. */
+    private static int freePort() throws IOException {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return server.getLocalPort();
+        }
+    }
+
+    private Process start(int port, int management) throws IOException {
+        Path file = folder.resolve("configuration-" + management + ".json");
+        Files.writeString(file, ServeTest.configuration(host.getLocalPort(), 9)
+                .replace("127.0.0.1:0", "127.0.0.1:" + port));
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "--add-exports", "java.base/sun.nio.ch=ALL-UNNAMED", "-cp", System.getProperty("java.class.path"),
+                "embershift.program.Main", "serve", "--configuration", file.toString());
+        builder.environment().put("LB_MANAGEMENT", "127.0.0.1:" + management);
+        builder.environment().put("TMPDIR", folder.toString());
+        Process process = builder.redirectErrorStream(true)
+                .redirectOutput(folder.resolve("log-" + management).toFile()).start();
+        processes.add(process);
+        return process;
+    }
+
+    private static String call(int management, String line) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), management)) {
+            socket.setSoTimeout(PATIENCE_MS);
+            socket.getOutputStream().write((line + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
+    private void awaitReady(int management) throws Exception {
+        for (long until = System.nanoTime() + PATIENCE_MS * 1_000_000L; ; ) {
+            try {
+                if (call(management, "GET /api/ready").startsWith("HTTP/1.1 200")) {
+                    return;
+                }
+            } catch (IOException e) {
+                // It does not listen yet.
+            }
+            assertTrue(System.nanoTime() < until, Files.readString(folder.resolve("log-" + management)));
+            Thread.sleep(10);
+        }
+    }
+
+    private void hostTakesAll() {
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket side = host.accept();
+                    new BufferedReader(new InputStreamReader(side.getInputStream())).readLine();
+                    side.getOutputStream().write("UP r\r\n".getBytes(StandardCharsets.US_ASCII));
+                }
+            } catch (IOException e) {
+                // The test is over.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** A tunnel's first answer. */
+    private static String open(Socket client, String id) throws IOException {
+        client.setSoTimeout(PATIENCE_MS);
+        client.getOutputStream().write(("OPEN " + id + " k c=p,d=3000\r\n").getBytes(StandardCharsets.US_ASCII));
+        return new BufferedReader(new InputStreamReader(client.getInputStream())).readLine();
+    }
+
+    @Test
+    public void aStreamOfConnectionsMeetsNoGapWhileOneProcessTakesOverFromTheOther() throws Exception {
+        hostTakesAll();
+        int port = freePort();
+        int[] management = {freePort(), freePort()};
+        Process old = start(port, management[0]);
+        awaitReady(management[0]);
+        AtomicBoolean going = new AtomicBoolean(true);
+        List<String> wrong = new ArrayList<>();
+        int[] answered = new int[1];
+        Thread clients = new Thread(() -> {
+            while (going.get()) {
+                try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                    String answer = open(client, "i" + answered[0]++);
+                    if (!"UP r".equals(answer) && !String.valueOf(answer).startsWith("BUSY")) {
+                        wrong.add(String.valueOf(answer));
+                    }
+                } catch (IOException e) {
+                    wrong.add(e.toString());
+                }
+            }
+        });
+        clients.start();
+        Process next = start(port, management[1]);
+        awaitReady(management[1]);
+        try (Socket standing = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            old.toHandle().destroy();
+            Path log = folder.resolve("log-" + management[0]);
+            while (!Files.readString(log).contains("leaving")) {
+                Thread.onSpinWait();
+            }
+            String answer = open(standing, "late");
+            assertTrue(answer.equals("UP r") || answer.startsWith("BUSY"), answer);
+            assertTrue(old.waitFor(10, TimeUnit.SECONDS));
+        }
+        int before = answered[0];
+        while (answered[0] < before + 20) {
+            Thread.onSpinWait();
+        }
+        going.set(false);
+        clients.join();
+        assertEquals(wrong, List.of());
+        assertTrue(next.isAlive());
+        String log = Files.readString(folder.resolve("log-" + management[0]));
+        assertTrue(log.contains("another process serves at this address"), log);
+    }
+
+    @Test
+    public void hostOutByHandStaysOutWhicheverProcessIsTold() throws Exception {
+        int port = freePort();
+        int[] management = {freePort(), freePort()};
+        start(port, management[0]);
+        awaitReady(management[0]);
+        assertTrue(call(management[0], "POST /api/exclude/s").contains("\"kept\":true"));
+        Process next = start(port, management[1]);
+        awaitReady(management[1]);
+        awaitTelemetry(management[1], "\"out_of_rotation\":1");
+        assertTrue(call(management[0], "POST /api/include/s").contains("\"kept\":true"));
+        awaitTelemetry(management[1], "\"out_of_rotation\":0");
+        assertTrue(call(management[1], "POST /api/exclude/s").contains("\"kept\":true"));
+        awaitTelemetry(management[0], "\"out_of_rotation\":1");
+        next.destroyForcibly().waitFor();
+        assertTrue(call(management[0], "POST /api/include/s").contains("\"kept\":true"));
+        assertEquals(BanList.read(Files.readString(folder.resolve("embershift-127.0.0.1-" + port + ".bans"))), Set.of());
+    }
+
+    private void awaitTelemetry(int management, String part) throws Exception {
+        long until = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+        while (!call(management, "GET /api/telemetry").contains(part)) {
+            assertTrue(System.nanoTime() < until, call(management, "GET /api/telemetry"));
+        }
+    }
+
+    @Test
+    public void whatAProcessLongDeadLeftIsNoReasonNotToStartNorToLeaveInHaste() throws Exception {
+        int port = freePort();
+        int[] management = {freePort(), freePort()};
+        Process dead = start(port, management[0]);
+        awaitReady(management[0]);
+        dead.destroyForcibly().waitFor();
+        Files.writeString(folder.resolve("embershift-127.0.0.1-" + port + ".bans"), "embershift-bans 1 0\n[\"s\"]\n");
+        Process next = start(port, management[1]);
+        awaitReady(management[1]);
+        assertTrue(call(management[1], "GET /api/telemetry").contains("\"out_of_rotation\":0"));
+        next.toHandle().destroy();
+        assertTrue(next.waitFor(10, TimeUnit.SECONDS));
+        String log = Files.readString(folder.resolve("log-" + management[1]));
+        assertTrue(log.contains("the list of hosts out by hand is damaged"), log);
+        assertFalse(log.contains("another process serves"), log);
+    }
+
+    @Test
+    public void processesSeeWhoServesBesideThemAndWhatTheyHold() throws Exception {
+        Neighbours one = Neighbours.in(folder.toString(), "a:1", line -> { });
+        Neighbours other = Neighbours.in(folder.toString(), "a:1", line -> { });
+        one.serve();
+        assertEquals(one.exchange(new Neighbours.Word(70, 9.5)), List.of());
+        assertEquals(other.exchange(new Neighbours.Word(1, 0)), List.of(new Neighbours.Word(70, 9.5)));
+        assertFalse(one.replacesThis());
+        assertEquals(other.exchange(new Neighbours.Word(1, 0)), List.of());
+        assertTrue(Neighbours.in("/nowhere/at/all", "a:1", line -> { }) == null);
+    }
+
+    @Test
+    public void banIsReadAsItWasWrittenAndNothingElseIs() throws Exception {
+        Set<HostId> bans = Set.of(new HostId("a\"\n{"), new HostId("\u00e9"));
+        String text = BanList.write(bans);
+        assertEquals(BanList.read(text), bans);
+        for (int i = 0; i < text.length(); i++) {
+            String cut = text.substring(0, i);
+            org.testng.Assert.assertThrows(embershift.protocol.Unreadable.class, () -> BanList.read(cut));
+        }
+    }
+}
--- a/node/src/test/java/embershift/program/ServeTest.java
+++ b/node/src/test/java/embershift/program/ServeTest.java
@@ -40,7 +40,7 @@
         return server;
     }
 
-    private static String configuration(int host, int discovery) {
+    static String configuration(int host, int discovery) {
         return """
             {"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"1",
              "known":{"generation":1,"reset":true,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:%d",
--- a/node/src/test/java/embershift/routing/RouterTest.java
+++ b/node/src/test/java/embershift/routing/RouterTest.java
@@ -68,7 +68,7 @@
         NodeConfiguration configuration = configuration(sockets, hosts);
         address = on(() -> {
             router = new Router(loop, configuration, line -> { });
-            return router.listen(configuration.listen());
+            return router.listen(configuration.listen(), false);
         });
     }
 
@@ -424,7 +424,7 @@
             // The half line has passed once its last letter is here.
         }
         on(() -> {
-            router.leave();
+            router.leave(false);
             return null;
         });
         // Declined only after the node knows that it leaves; its moves then come half a second later.
