Departures wait while tunnels find no host

Change: each tunnel that could be sent and finds no host puts the moves off draining and excluded hosts off by a period, with their even turns; a node that leaves moves on as before. Tests that a process that is told how much fills a host sends cold ones their part, and one that is not told is not stuck.

--- a/core/src/main/java/embershift/policy/Departures.java
+++ b/core/src/main/java/embershift/policy/Departures.java
@@ -23,6 +23,16 @@
         next = Math.min(next, from);
     }
 
+    /**
+     * No turn comes before this, as tunnels find no host now: who is moved would be declined, and fares better where it
+     * stands. All that wait are that much later.
+     */
+    void hold(double from) {
+        double later = Math.max(0, from - next);
+        next += later;
+        until += later;
+    }
+
     void add(Tunnel tunnel) {
         waiting.add(tunnel);
     }
--- a/core/src/main/java/embershift/policy/Filling.java
+++ b/core/src/main/java/embershift/policy/Filling.java
@@ -11,8 +11,6 @@
     /** Tunnels and load that tell something: below, a figure is mostly noise. */
     private static final double LEAST_TUNNELS = 4;
     private static final double LEAST_LOAD = 0.1;
-    /** Part of what fills a host that is counted on: hosts differ in size, and a small one must not be pushed over. */
-    private static final double SURE = 1;
 
     private final Deployment deployment;
     private double loads;
@@ -55,7 +53,7 @@
             // What cold ones can do as they are, which is less.
             known = Math.max(known, coldTunnels / coldLoads);
         }
-        return SURE * known / deployment.nodes() / deployment.warmAfter();
+        return known / deployment.nodes() / deployment.warmAfter();
     }
 
     /** Tunnels that fill a warm host; 0 while nothing has told it. */
--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -378,8 +378,9 @@
         }
     }
 
-    /** Guards against a view that stays dark: who declines without asking would never hear of new room. */
+    /** No host for a tunnel. Guards against a view that stays dark: who never asks would not hear of new room. */
     private void lookAround() {
+        departures.hold(now + PERIOD);
         if (deployment.mayProbe() && now >= nextLook && !roll.isEmpty()) {
             nextLook = now + PERIOD;
             Host host = roll.get((int) (chance.next() * roll.size()));
@@ -479,9 +480,7 @@
         double usual = opened.sum(now) / Math.max(1, opened.count(now));
         double patience = SLOW_SETUP * Math.max(tunnel.profile.setupGoal(), usual);
         double timeOut = last ? 0 : Math.min(left, patience);
-        if (tunnel.setups == 0) {
-            tunnel.firstSentAt = now;
-        }
+        tunnel.firstSentAt = tunnel.setups == 0 ? now : tunnel.firstSentAt;
         tunnel.setups++;
         tunnel.out = true;
         pace.sent();
--- a/core/src/test/java/embershift/policy/Node.java
+++ b/core/src/test/java/embershift/policy/Node.java
@@ -25,6 +25,9 @@
 final class Node implements Decisions {
 
     final Policy policy;
+    final Filling filling;
+    /** Setups sent from the start on. */
+    int placed;
     final List<String> said = new ArrayList<>();
     double now = 100;
     double lastTimeOut;
@@ -33,7 +36,8 @@
         Profile profile = new Profile(new ProfileId("p"), repeat, scope, 2, 0.5, 3, 1);
         Deployment deployment = new Deployment(seed, 1, new ZoneId("near"), List.of(profile), true, 10,
                 true, true, true, true, false, 4, true, 1.5, 0.25, 0.016, 0.5, 0.3, 8, 3, 2, false, 0);
-        policy = new Policy(deployment, new Filling(deployment));
+        filling = new Filling(deployment);
+        policy = new Policy(deployment, filling);
         List<Listing> listings = new ArrayList<>();
         for (int i = 0; i < hosts; i++) {
             listings.add(listing(i, Listing.State.READY, 0));
@@ -135,6 +139,7 @@
     @Override
     public void setUp(TunnelId id, HostId host, double timeOut) {
         lastTimeOut = timeOut;
+        placed++;
         said.add("set up " + id.name() + " " + host.name());
     }
 
--- a/core/src/test/java/embershift/policy/PolicyTest.java
+++ b/core/src/test/java/embershift/policy/PolicyTest.java
@@ -531,6 +531,41 @@
         assertTrue(node.sentTo(0) <= 1, "it is cold, however long ago the list says that it started");
     }
 
+    @Test
+    public void whoWouldFindNoHostIsNotMovedOffOneThatStillServes() {
+        Node node = new Node(2).loads(0.1, 0.1);
+        node.stand(100, 30, 0);
+        node.round(news -> news.rosterChanged(List.of(Node.listing(1, Listing.State.GONE, 0))));
+        node.round(news -> news.hostByHand(Node.host(0), true));
+        assertEquals(node.count("move"), 1, "before it is known that there is no room");
+        for (int i = 0; i < 10; i++) {
+            node.arrive(i, 1, null);
+            assertEquals(node.later(0.3), 0);
+        }
+        node.round(news -> news.rosterChanged(List.of(Node.listing(1, Listing.State.READY, 0))));
+        assertEquals(node.later(3), 29);
+    }
+
+    @Test
+    public void processTakesOverWhatFillsAHostAndSendsColdOnesTheirPart() {
+        Node told = new Node(2);
+        Node untold = new Node(2);
+        told.filling.told(200);
+        for (Node node : List.of(told, untold)) {
+            node.now += 5;
+            node.round(news -> news.rosterChanged(List.of(Node.listing(0, Listing.State.READY, 105),
+                    Node.listing(1, Listing.State.READY, 105))));
+            for (int i = 0; i < 40; i++) {
+                node.now += 0.05;
+                node.loads(0.05, 0.05);
+                node.arrive(i, 1, null);
+                node.round(news -> { });
+            }
+        }
+        assertTrue(untold.placed >= 2, "else it could never learn: " + untold.placed);
+        assertTrue(told.placed > 3 * untold.placed, told.placed + " and " + untold.placed);
+    }
+
     @Test
     public void hostTakenBackIsNotHeldToWhatItDidBefore() {
         Node node = new Node(1).loads(0.1);
