Bans outlast a file of bans that is damaged or gone

Need: read once more: with the file damaged, the next call wrote itself alone and the others were lifted; with the file gone while two processes stand, all were lifted at the next look. Change: a file that was there and is gone, or can't be read, says nothing; the next call writes all bans that hold here. Tests: that, a ban that can't be written, a second process killed before its yes.

--- a/node/src/main/java/embershift/operations/Bans.java
+++ b/node/src/main/java/embershift/operations/Bans.java
@@ -20,8 +20,11 @@
     /** Where bans outlast this process. Called aside. */
     public interface Keeping {
 
-        /** Keeps one change; returns all bans that hold with it, or null where it can't be kept. */
-        Collection<HostId> change(HostId host, boolean out);
+        /**
+         * Keeps one change; returns all bans that hold with it, or null where it can't be kept. {@code known}: the bans
+         * that hold here, for where what was kept can't be read any more.
+         */
+        Collection<HostId> change(HostId host, boolean out, Collection<HostId> known);
 
         /** All bans that hold, or null where that can't be read now. */
         Collection<HostId> read();
@@ -51,8 +54,9 @@
                 done.accept(false);
                 return;
             }
+            List<HostId> known = List.copyOf(out);
             loop.aside(() -> {
-                Collection<HostId> kept = keeping.change(host, banned);
+                Collection<HostId> kept = keeping.change(host, banned, known);
                 loop.execute(() -> {
                     if (kept == null && banned) {
                         notKept.add(host);
--- a/node/src/main/java/embershift/program/Neighbours.java
+++ b/node/src/main/java/embershift/program/Neighbours.java
@@ -41,6 +41,8 @@
     private final Consumer<String> log;
     private final Set<String> told = new LinkedHashSet<>();
     private FileLock own;
+    /** Whether there was a file of bans: one that is gone since then does not say that none hold. */
+    private boolean seen;
 
     private Neighbours(Path folder, String address, Consumer<String> log) throws IOException {
         this.log = log;
@@ -137,8 +139,12 @@
     public synchronized Collection<HostId> read() {
         try {
             if (!Files.exists(bans)) {
+                if (seen) {
+                    throw new Unreadable("it is gone");
+                }
                 return List.of();
             }
+            seen = true;
             if (Files.size(bans) > BanList.LONGEST) {
                 throw new Unreadable("over " + BanList.LONGEST + " bytes");
             }
@@ -150,18 +156,20 @@
     }
 
     @Override
-    public synchronized Collection<HostId> change(HostId host, boolean out) {
+    public synchronized Collection<HostId> change(HostId host, boolean out, Collection<HostId> known) {
         // Both processes may be told something at once: neither may write over what the other has just written.
         try (FileLock lock = channel.lock(CHANGING, 1, false)) {
             Collection<HostId> before = read();
-            Set<HostId> after = new LinkedHashSet<>(before == null ? List.of() : before);
-            if (out ? after.add(host) : after.remove(host)) {
+            Set<HostId> after = new LinkedHashSet<>(before == null ? known : before);
+            boolean changed = out ? after.add(host) : after.remove(host);
+            if (changed || before == null) {
                 if (after.size() > BanList.MOST) {
                     throw new IOException("over " + BanList.MOST + " hosts");
                 }
                 Path aside = bans.resolveSibling(bans.getFileName() + ".new");
                 Files.writeString(aside, BanList.write(after), StandardCharsets.UTF_8);
                 Files.move(aside, bans, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+                seen = true;
             }
             return after;
         } catch (IOException | OverlappingFileLockException e) {
--- a/node/src/test/java/embershift/program/ReplaceTest.java
+++ b/node/src/test/java/embershift/program/ReplaceTest.java
@@ -211,6 +211,53 @@
         assertFalse(log.contains("another process serves"), log);
     }
 
+    @Test
+    public void processKilledBeforeItsYesLeavesTheOtherAsItWas() throws Exception {
+        hostTakesAll();
+        int port = freePort();
+        int[] management = {freePort(), freePort()};
+        Process old = start(port, management[0]);
+        awaitReady(management[0]);
+        start(port, management[1]).destroyForcibly().waitFor();
+        try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            assertEquals(open(client, "a"), "UP r");
+        }
+        old.toHandle().destroy();
+        assertTrue(old.waitFor(10, TimeUnit.SECONDS));
+        assertFalse(Files.readString(folder.resolve("log-" + management[0])).contains("another process serves"));
+    }
+
+    @Test
+    public void banThatCannotBeWrittenHoldsHereAndIsToldOnce() throws Exception {
+        List<String> log = new ArrayList<>();
+        Neighbours one = Neighbours.in(folder.toString(), "a:1", log::add);
+        Path aside = folder.resolve("embershift-a-1.bans.new");
+        Files.createDirectory(aside);
+        assertTrue(one.change(new HostId("h"), true, List.of()) == null);
+        assertTrue(one.change(new HostId("h"), true, List.of()) == null);
+        assertEquals(log.size(), 1, log.toString());
+        Files.delete(aside);
+        assertEquals(one.change(new HostId("h"), true, List.of()), Set.of(new HostId("h")));
+        assertEquals(one.read(), Set.of(new HostId("h")));
+        assertEquals(one.change(new HostId("h"), false, List.of()), Set.of());
+    }
+
+    @Test
+    public void bansOutlastAFileThatIsDamagedOrGone() throws Exception {
+        Neighbours one = Neighbours.in(folder.toString(), "a:1", line -> { });
+        Path file = folder.resolve("embershift-a-1.bans");
+        List<HostId> known = List.of(new HostId("a"), new HostId("b"));
+        assertEquals(one.read(), List.of());
+        one.change(new HostId("a"), true, List.of());
+        Files.writeString(file, "embershift-bans 9");
+        assertTrue(one.read() == null);
+        assertEquals(one.change(new HostId("b"), true, known), Set.copyOf(known));
+        Files.delete(file);
+        assertTrue(one.read() == null, "none is not what that says");
+        assertEquals(one.change(new HostId("b"), true, known), Set.copyOf(known));
+        assertEquals(one.read(), Set.copyOf(known));
+    }
+
     @Test
     public void processesSeeWhoServesBesideThemAndWhatTheyHold() throws Exception {
         Neighbours one = Neighbours.in(folder.toString(), "a:1", line -> { });
