Test of bans compares sets as sets

Need: a clean checkout failed once: the test compared a set's order, which differs from one JVM to the next. Change: both sides are sets. ReplaceTest green four times in a row.

--- a/node/src/test/java/embershift/program/ReplaceTest.java
+++ b/node/src/test/java/embershift/program/ReplaceTest.java
@@ -251,11 +251,11 @@
         one.change(new HostId("a"), true, List.of());
         Files.writeString(file, "embershift-bans 9");
         assertTrue(one.read() == null);
-        assertEquals(one.change(new HostId("b"), true, known), Set.copyOf(known));
+        assertEquals(Set.copyOf(one.change(new HostId("b"), true, known)), Set.copyOf(known));
         Files.delete(file);
         assertTrue(one.read() == null, "none is not what that says");
-        assertEquals(one.change(new HostId("b"), true, known), Set.copyOf(known));
-        assertEquals(one.read(), Set.copyOf(known));
+        assertEquals(Set.copyOf(one.change(new HostId("b"), true, known)), Set.copyOf(known));
+        assertEquals(Set.copyOf(one.read()), Set.copyOf(known));
     }
 
     @Test
