Calls and replacing read once more: one test rig, bans as sets, less asked twice

Bans were compared by scans of a list, ten times a second on the loop while two processes stand (4,096 hosts at most: 16 million comparisons). At its start a process read its neighbours twice in a row. Whether an address is shared was worked out in four places and passed to the router, which knew it. Addresses were put together by hand six times, contacts made in five places. OperatorsTest had RouterTest's rig again, ReplaceTest ServeTest's launcher. Change: sets; the second look after its period; NodeConfiguration.operated; Addresses.written; Router.contact; Desk looks at path and method once; Callers goes by the closed link in place of a flag; Loopback as the rig of both tests, and ServeTest.builder for both.

--- a/emulator/src/main/java/embershift/emulator/sockets/NodeStand.java
+++ b/emulator/src/main/java/embershift/emulator/sockets/NodeStand.java
@@ -37,7 +37,7 @@
         loop.execute(() -> {
             try {
                 Router router = new Router(loop, read, line -> { });
-                router.listen(read.listen(), false);
+                router.listen(read.listen());
                 started.complete(router);
             } catch (IOException | RuntimeException e) {
                 started.completeExceptionally(e);
--- a/emulator/src/test/java/embershift/emulator/MutationsTest.java
+++ b/emulator/src/test/java/embershift/emulator/MutationsTest.java
@@ -50,7 +50,8 @@
 
     private static Module.Maker maker(UnaryOperator<Deployment> told, Fault<News> hears, Fault<Decisions> says) {
         return (deployment, truth) -> {
-            Policy policy = new Policy(told.apply(deployment), new Filling(told.apply(deployment)));
+            Deployment heard = told.apply(deployment);
+            Policy policy = new Policy(heard, new Filling(heard));
             return (now, arrivals, decisions) -> policy.round(now,
                     news -> arrivals.accept(hears == null ? news : faulty(News.class, news, hears)),
                     says == null ? decisions : faulty(Decisions.class, decisions, says));
@@ -85,8 +86,8 @@
     /** Troubles enough for every rule: failing and mute hosts, drains, cold ones, a slow store, too much traffic. */
     private static Day day(String repeat, String scope) {
         return Days.day("[fleet]", "nodes = 4", "hosts = 12", "[[profile]]", "name = \"p\"", "repeat = \"" + repeat + "\"",
-                "scope = \"" + scope + "\"", "window = 1.0", "[host]", "drain = \"kept\"", "drain-for = 6.0", "cold-from = 0.1", "warm-after = 30.0", "[rules]",
-                "fall-multiple = 2.0",
+                "scope = \"" + scope + "\"", "window = 1.0", "[host]", "drain = \"kept\"", "drain-for = 6.0",
+                "cold-from = 0.1", "warm-after = 30.0", "[rules]", "fall-multiple = 2.0",
                 Days.trouble("half-answer", "hosts share 0.3", 2, 8, "part = 0.6"),
                 Days.trouble("mute", "hosts share 0.1", 4, 3), Days.trouble("drain", "hosts share 0.25", 10, 3),
                 Days.trouble("traffic", "clients", 12, 10, "factor = 3.0"),
--- a/node/src/main/java/embershift/operations/Bans.java
+++ b/node/src/main/java/embershift/operations/Bans.java
@@ -4,7 +4,6 @@
 import embershift.routing.Router;
 import embershift.transport.Loop;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -99,7 +98,7 @@
         if (kept == null) {
             return;
         }
-        List<HostId> all = new ArrayList<>(kept);
+        Set<HostId> all = new LinkedHashSet<>(kept);
         all.addAll(notKept);
         for (HostId host : all) {
             if (!out.contains(host)) {
--- a/node/src/main/java/embershift/operations/Callers.java
+++ b/node/src/main/java/embershift/operations/Callers.java
@@ -78,7 +78,6 @@
         private final Link link;
         private final HttpRequest call = new HttpRequest();
         private final Loop.Timer patience;
-        private boolean over;
 
         Caller(Link link) {
             this.link = link;
@@ -89,8 +88,7 @@
 
         private void answer(HttpAnswer answer) {
             leaveQueue();
-            if (!over) {
-                over = true;
+            if (!link.closed()) {
                 tally.count("operators' calls answered " + answer.status());
                 link.write(answer.bytes());
             }
@@ -125,16 +123,13 @@
         @Override
         public void ended() {
             if (waiting.contains(this)) {
-                leaveQueue();
-                over = true;
-                link.close();
+                broken();
             }
         }
 
         @Override
         public void broken() {
             leaveQueue();
-            over = true;
             link.close();
         }
     }
--- a/node/src/main/java/embershift/operations/Desk.java
+++ b/node/src/main/java/embershift/operations/Desk.java
@@ -33,29 +33,23 @@
     public void take(HttpRequest call, Consumer<HttpAnswer> answer) {
         List<String> path = call.path();
         String name = path.size() > 1 && path.get(0).equals(ROOT) ? path.get(1) : "";
-        if (path.size() == 2 && name.equals("ready")) {
-            only("GET", call, answer, this::ready);
-        } else if (path.size() == 2 && name.equals("telemetry")) {
-            only("GET", call, answer, this::telemetry);
-        } else if (path.size() == 3 && (name.equals("exclude") || name.equals("include"))) {
-            only("POST", call, answer, then -> byHand(new HostId(path.get(2)), name.equals("exclude"), then));
-        } else {
+        boolean figures = path.size() == 2 && (name.equals("ready") || name.equals("telemetry"));
+        boolean byHand = path.size() == 3 && (name.equals("exclude") || name.equals("include"));
+        String method = byHand ? "POST" : "GET";
+        if (!figures && !byHand) {
             answer.accept(HttpAnswer.error(404, "no such call"));
-        }
-    }
-
-    private static void only(String method, HttpRequest call, Consumer<HttpAnswer> answer,
-                             Consumer<Consumer<HttpAnswer>> then) {
-        if (call.method().equals(method)) {
-            then.accept(answer);
-        } else {
+        } else if (!call.method().equals(method)) {
             answer.accept(HttpAnswer.onlyBy(method));
+        } else if (byHand) {
+            byHand(new HostId(path.get(2)), name.equals("exclude"), answer);
+        } else {
+            answer.accept(name.equals("ready") ? ready() : telemetry());
         }
     }
 
-    private void ready(Consumer<HttpAnswer> answer) {
-        answer.accept(ready.getAsBoolean() ? HttpAnswer.of(200, "{\"ready\":true}")
-                : HttpAnswer.error(503, "this node takes no clients now"));
+    private HttpAnswer ready() {
+        return ready.getAsBoolean() ? HttpAnswer.of(200, "{\"ready\":true}")
+                : HttpAnswer.error(503, "this node takes no clients now");
     }
 
     private void byHand(HostId host, boolean out, Consumer<HttpAnswer> answer) {
@@ -67,7 +61,7 @@
                 + ",\"out\":" + out + ",\"kept\":" + kept + "}")));
     }
 
-    private void telemetry(Consumer<HttpAnswer> answer) {
+    private HttpAnswer telemetry() {
         Tally tally = router.tally();
         StringBuilder out = new StringBuilder("{\"operations\":{");
         String comma = "";
@@ -78,9 +72,10 @@
                     .append(",\"faulted\":").append(tally.of(profile, Outcome.CLOSED_WITH_ERROR)).append('}');
             comma = ",";
         }
-        out.append("},\"relayed\":").append(tally.of(Tally.RELAYED)).append(",\"open_requests\":").append(router.openTunnels())
+        out.append("},\"relayed\":").append(tally.of(Tally.RELAYED))
+                .append(",\"open_requests\":").append(router.openTunnels())
                 .append(",\"registry_entries\":").append(router.listedHosts())
                 .append(",\"out_of_rotation\":").append(router.avoidedHosts()).append('}');
-        answer.accept(HttpAnswer.of(200, out.toString()));
+        return HttpAnswer.of(200, out.toString());
     }
 }
--- a/node/src/main/java/embershift/program/Main.java
+++ b/node/src/main/java/embershift/program/Main.java
@@ -6,6 +6,7 @@
 import com.beust.jcommander.Parameters;
 import embershift.adapter.Adapter;
 import embershift.adapter.UnreadableLine;
+import embershift.protocol.Addresses;
 import embershift.protocol.NodeConfiguration;
 import embershift.protocol.Unreadable;
 
@@ -48,9 +49,8 @@
         public int run() throws IOException, Unreadable {
             NodeConfiguration configuration = read();
             System.out.println("sound: " + configuration.name() + " would listen on "
-                    + configuration.listen().getHostString() + ":" + configuration.listen().getPort()
-                    + (configuration.management() == null ? "" : ", for operators on "
-                    + configuration.management().getHostString() + ":" + configuration.management().getPort()));
+                    + Addresses.written(configuration.listen()) + (configuration.operated()
+                    ? ", for operators on " + Addresses.written(configuration.management()) : ""));
             return 0;
         }
     }
--- a/node/src/main/java/embershift/program/Service.java
+++ b/node/src/main/java/embershift/program/Service.java
@@ -4,6 +4,7 @@
 import embershift.operations.Bans;
 import embershift.operations.Callers;
 import embershift.operations.Desk;
+import embershift.protocol.Addresses;
 import embershift.protocol.NodeConfiguration;
 import embershift.protocol.Unreadable;
 import embershift.routing.Router;
@@ -81,20 +82,19 @@
     private void serve(CompletableFuture<InetSocketAddress> serving) {
         try {
             router = new Router(loop, configuration, log::line);
-            boolean operated = configuration.management() != null;
-            if (operated) {
+            if (configuration.operated()) {
                 listenForOperators();
             }
-            InetSocketAddress address = router.listen(configuration.listen(), operated);
+            InetSocketAddress address = router.listen(configuration.listen());
             if (neighbours != null) {
                 // Before the yes: at that the other process may be told to leave, and must see who is here.
                 neighbours.serve();
                 bans.follow(neighbours.read());
-                heed(neighbours.exchange(new Neighbours.Word(loop.descriptors(), 0)));
-                lookAtNeighbours();
+                heed(neighbours.exchange(word()));
+                loop.after(LOOK_AT_NEIGHBOURS, this::lookAtNeighbours);
             }
             enter(Phase.SERVING);
-            log.line("listening on " + address.getHostString() + ":" + address.getPort());
+            log.line("listening on " + Addresses.written(address));
             serving.complete(address);
         } catch (IOException | RuntimeException e) {
             serving.completeExceptionally(e);
@@ -103,18 +103,17 @@
 
     /** First of all: while the node starts, operators hear a no, not nothing. */
     private void listenForOperators() throws IOException {
-        InetSocketAddress listen = configuration.listen();
-        neighbours = Neighbours.in(System.getenv("TMPDIR"), listen.getHostString() + ":" + listen.getPort(), log::line);
+        neighbours = Neighbours.in(System.getenv("TMPDIR"), Addresses.written(configuration.listen()), log::line);
         bans = new Bans(loop, router, neighbours);
         Desk desk = new Desk(router, bans, () -> phase == Phase.SERVING);
         InetSocketAddress address = new Callers(loop, desk, router.tally(), router::mostDescriptors)
                 .listen(configuration.management());
-        log.line("operators call " + address.getHostString() + ":" + address.getPort());
+        log.line("operators call " + Addresses.written(address));
     }
 
     /** While another process serves at this address, both go by the same bans and share the descriptors. */
     private void lookAtNeighbours() {
-        Neighbours.Word mine = new Neighbours.Word(loop.descriptors(), router.tunnelsThatFill());
+        Neighbours.Word mine = word();
         loop.aside(() -> {
             List<Neighbours.Word> others = neighbours.exchange(mine);
             loop.execute(() -> {
@@ -124,6 +123,10 @@
         });
     }
 
+    private Neighbours.Word word() {
+        return new Neighbours.Word(loop.descriptors(), router.tunnelsThatFill());
+    }
+
     private void heed(List<Neighbours.Word> others) {
         router.heldElsewhere(others.stream().mapToInt(Neighbours.Word::descriptors).sum());
         others.forEach(other -> router.toldOfFilling(other.filling()));
@@ -154,8 +157,7 @@
         router.tally().count("configurations taken");
         router.reconfigure(next);
         List<String> fixed = configuration.fixedChanges(next);
-        log.line("configuration taken, discovery at " + next.discovery().getHostString() + ":"
-                + next.discovery().getPort()
+        log.line("configuration taken, discovery at " + Addresses.written(next.discovery())
                 + (fixed.isEmpty() ? "" : "; only after a restart: " + String.join(", ", fixed)));
     }
 
--- a/node/src/main/java/embershift/protocol/Addresses.java
+++ b/node/src/main/java/embershift/protocol/Addresses.java
@@ -10,6 +10,11 @@
     private Addresses() {
     }
 
+    /** The address in the form that {@link #read} takes. */
+    public static String written(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
     public static InetSocketAddress read(String text) throws Unreadable {
         int colon = text.lastIndexOf(':');
         String[] parts = colon < 0 ? new String[0] : text.substring(0, colon).split("\\.", -1);
--- a/node/src/main/java/embershift/protocol/BanList.java
+++ b/node/src/main/java/embershift/protocol/BanList.java
@@ -3,7 +3,6 @@
 import embershift.model.HostId;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -41,7 +40,7 @@
         if (!(Json.read(lines[1]) instanceof List<?> ids) || ids.size() > MOST) {
             throw new Unreadable("no list of hosts out by hand");
         }
-        for (Object id : new ArrayList<>(ids)) {
+        for (Object id : ids) {
             bans.add(new HostId(String.valueOf(id)));
         }
         return bans;
--- a/node/src/main/java/embershift/protocol/HttpRequest.java
+++ b/node/src/main/java/embershift/protocol/HttpRequest.java
@@ -12,7 +12,7 @@
  */
 public final class HttpRequest extends HttpMessage {
 
-    /** Header bytes, header and first lines, and body bytes that a request may have. */
+    /** Bytes of the header with the first line, and of the body, that a request may have. */
     private static final int LARGEST_HEADER = 16 * 1024;
     private static final int LARGEST_BODY = 64 * 1024;
 
--- a/node/src/main/java/embershift/protocol/NodeConfiguration.java
+++ b/node/src/main/java/embershift/protocol/NodeConfiguration.java
@@ -9,7 +9,8 @@
 
 /** All that the platform tells a node when it starts. */
 public record NodeConfiguration(String name, InetSocketAddress listen, InetSocketAddress discovery,
-                                int sockets, InetSocketAddress management, InetSocketAddress peerListen, List<InetSocketAddress> peers,
+                                int sockets, InetSocketAddress management, InetSocketAddress peerListen,
+                                List<InetSocketAddress> peers,
                                 InetSocketAddress peersAll, RosterPage known, Object settings,
                                 Deployment deployment) {
 
@@ -38,6 +39,11 @@
                 DeploymentReader.ofJson(all.value("settings")).read(seed(all.text("seed"))));
     }
 
+    /** Whether operators have an address; a second process may then listen beside this one. */
+    public boolean operated() {
+        return management != null;
+    }
+
     /** What differs in a later configuration and can't change before a restart; seeds do with each reading. */
     public List<String> fixedChanges(NodeConfiguration later) {
         List<String> changes = new ArrayList<>();
--- a/node/src/main/java/embershift/routing/Peers.java
+++ b/node/src/main/java/embershift/routing/Peers.java
@@ -24,7 +24,7 @@
         this.router = router;
         reachedBy(configuration);
         socket = configuration.peerListen() == null ? null
-                : router.loop().datagrams(configuration.peerListen(), configuration.management() != null, this::received);
+                : router.loop().datagrams(configuration.peerListen(), configuration.operated(), this::received);
     }
 
     /** Hears and says nothing more: another process does, at the same address. */
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -95,7 +95,7 @@
         connectTimeout = deployment.connectTimeout() > 0 ? deployment.connectTimeout() : 0.25;
         slowMessage = SLOW_MESSAGE * deployment.profiles().stream()
                 .mapToDouble(Deployment.Profile::setupGoal).min().orElse(1);
-        operators = configuration.management() != null;
+        operators = configuration.operated();
         descriptors = configuration.sockets();
         strangers = new Strangers(loop, tally);
         limitStrangers();
@@ -118,9 +118,9 @@
         strangers.begin(new Passage(this, link));
     }
 
-    /** Listens for clients; {@code shared}: where another process may listen as well. */
-    public InetSocketAddress listen(InetSocketAddress address, boolean shared) throws IOException {
-        listening = loop.listen(address, shared, strangers::mayAccept, this::accepted);
+    /** Listens for clients; where operators have an address, beside another process that may do so as well. */
+    public InetSocketAddress listen(InetSocketAddress address) throws IOException {
+        listening = loop.listen(address, operators, strangers::mayAccept, this::accepted);
         return listening.address();
     }
 
@@ -193,7 +193,7 @@
 
     /** Staff take a host out, or back; {@code done} runs once that holds. */
     public void byHand(HostId host, boolean out, Runnable done) {
-        contacts.computeIfAbsent(host, id -> new Contact(this, id));
+        contact(host);
         hear(news -> news.hostByHand(host, out));
         log.accept("by hand: " + host.name() + (out ? " out" : " back"));
         // Behind the round that takes it.
@@ -403,6 +403,10 @@
         unplaced.removeIf(this::resume);
     }
 
+    private Contact contact(HostId host) {
+        return contacts.computeIfAbsent(host, id -> new Contact(this, id));
+    }
+
     private void addresses(RosterPage page) {
         if (page.whole()) {
             contacts.forEach((host, contact) -> {
@@ -411,10 +415,9 @@
                 }
             });
         }
-        page.addresses().forEach((host, address) ->
-                contacts.computeIfAbsent(host, id -> new Contact(this, id)).reachedAt(address));
+        page.addresses().forEach((host, address) -> contact(host).reachedAt(address));
         for (Listing listing : page.listings()) {
-            Contact contact = contacts.computeIfAbsent(listing.host(), id -> new Contact(this, id));
+            Contact contact = contact(listing.host());
             if (listing.state() == Listing.State.GONE) {
                 contact.hangUp();
             }
@@ -427,7 +430,7 @@
     public void setUp(TunnelId id, HostId host, double timeOut) {
         Passage passage = passages.get(id);
         if (passage != null) {
-            passage.setUp(contacts.computeIfAbsent(host, name -> new Contact(this, name)), timeOut);
+            passage.setUp(contact(host), timeOut);
         }
     }
 
@@ -466,7 +469,7 @@
 
     @Override
     public void probe(HostId host) {
-        contacts.computeIfAbsent(host, name -> new Contact(this, name)).probe();
+        contact(host).probe();
     }
 
     @Override
--- a/node/src/test/java/embershift/operations/OperatorsTest.java
+++ b/node/src/test/java/embershift/operations/OperatorsTest.java
@@ -3,60 +3,34 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import embershift.Loopback;
 import embershift.protocol.HttpReply;
 import embershift.protocol.NodeConfiguration;
 import embershift.routing.Router;
-import embershift.transport.Loop;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Callable;
-import java.util.concurrent.CompletableFuture;
 
 /** Operators' calls on loopback, beside the tunnels that they ask about. */
-public class OperatorsTest {
+public class OperatorsTest extends Loopback {
 
-    private static final int PATIENCE_MS = 10_000;
-
-    private final List<AutoCloseable> open = new ArrayList<>();
-    private Loop loop;
     private Router router;
     private InetSocketAddress clients;
     private InetSocketAddress operators;
     private volatile boolean ready;
 
     @BeforeMethod
-    public void begin() throws IOException {
-        loop = new Loop();
+    public void begin() {
         ready = true;
     }
 
-    @AfterMethod
-    public void end() throws Exception {
-        loop.stop();
-        for (AutoCloseable each : open) {
-            each.close();
-        }
-        open.clear();
-    }
-
-    private ServerSocket host() throws IOException {
-        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        server.setSoTimeout(PATIENCE_MS);
-        open.add(server);
-        return server;
-    }
-
     private void start(int sockets, ServerSocket... hosts) throws Exception {
         List<String> known = new ArrayList<>();
         for (ServerSocket host : hosts) {
@@ -79,43 +53,11 @@
             operators = new Callers(loop, new Desk(router, new Bans(loop, router, null), () -> ready), router.tally(),
                     router::mostDescriptors)
                     .listen(configuration.management());
-            clients = router.listen(configuration.listen(), false);
+            clients = router.listen(configuration.listen());
             return null;
         });
     }
 
-    private <T> T on(Callable<T> step) throws Exception {
-        CompletableFuture<T> done = new CompletableFuture<>();
-        loop.execute(() -> {
-            try {
-                done.complete(step.call());
-            } catch (Exception e) {
-                done.completeExceptionally(e);
-            }
-        });
-        return done.get();
-    }
-
-    private Socket talk(InetSocketAddress to, String words) throws IOException {
-        Socket socket = new Socket(to.getAddress(), to.getPort());
-        open.add(socket);
-        socket.setSoTimeout(PATIENCE_MS);
-        say(socket, words);
-        return socket;
-    }
-
-    private static void say(Socket socket, String words) throws IOException {
-        socket.getOutputStream().write(words.getBytes(StandardCharsets.ISO_8859_1));
-    }
-
-    private static String hear(Socket socket) throws IOException {
-        StringBuilder line = new StringBuilder();
-        for (int b = socket.getInputStream().read(); b >= 0 && b != '\n'; b = socket.getInputStream().read()) {
-            line.append((char) b);
-        }
-        return line.toString().trim();
-    }
-
     private static HttpReply reply(Socket socket) throws Exception {
         HttpReply reply = new HttpReply();
         // To the end of the connection: each answer must end it.
@@ -131,8 +73,7 @@
     /** A client's line, and its host's side once that has read it. */
     private Socket[] tunnel(ServerSocket host, String id) throws IOException {
         Socket client = talk(clients, "OPEN " + id + " k c=p\"q,d=3000\r\n");
-        Socket side = host.accept();
-        open.add(side);
+        Socket side = accept(host);
         hear(side);
         return new Socket[] {client, side};
     }
@@ -170,7 +111,7 @@
 
     @Test
     public void hostOutByHandIsNotUsedOnceTheNodeHasSaidYes() throws Exception {
-        ServerSocket host = host();
+        ServerSocket host = listening();
         start(1024, host);
         assertEquals(call("GET", "/api/exclude/s0").status(), 405);
         assertEquals(call("POST", "/api/exclude/unheard%22of").status(), 404);
@@ -187,7 +128,7 @@
 
     @Test
     public void figuresCountEachTunnelOnceByItsAnswer() throws Exception {
-        ServerSocket host = host();
+        ServerSocket host = listening();
         start(1024, host);
         telemetryBecomes(figures(0, 0, 0, 0, 0, 0));
         Socket[] opened = tunnel(host, "a");
@@ -208,7 +149,7 @@
 
     @Test
     public void crowdWithoutAWholeCallKeepsNoSoundCallerOutNorAnyClient() throws Exception {
-        ServerSocket host = host();
+        ServerSocket host = listening();
         start(1024, host);
         Socket first = talk(operators, "");
         for (int i = 0; i < 100; i++) {
--- a/node/src/test/java/embershift/program/ReplaceTest.java
+++ b/node/src/test/java/embershift/program/ReplaceTest.java
@@ -10,10 +10,8 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -52,7 +50,7 @@
         Files.delete(folder);
     }
 
-    /** Holds a port so that nobody else takes it, and lets processes of this test share it. */
+    /** A port that was free just now: two processes must be told the same one. */
     private static int freePort() throws IOException {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return server.getLocalPort();
@@ -63,14 +61,10 @@
         Path file = folder.resolve("configuration-" + management + ".json");
         Files.writeString(file, ServeTest.configuration(host.getLocalPort(), 9)
                 .replace("127.0.0.1:0", "127.0.0.1:" + port));
-        ProcessBuilder builder = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "--add-exports", "java.base/sun.nio.ch=ALL-UNNAMED", "-cp", System.getProperty("java.class.path"),
-                "embershift.program.Main", "serve", "--configuration", file.toString());
+        ProcessBuilder builder = ServeTest.builder("serve", "--configuration", file.toString());
         builder.environment().put("LB_MANAGEMENT", "127.0.0.1:" + management);
         builder.environment().put("TMPDIR", folder.toString());
-        Process process = builder.redirectErrorStream(true)
-                .redirectOutput(folder.resolve("log-" + management).toFile()).start();
+        Process process = builder.redirectOutput(folder.resolve("log-" + management).toFile()).start();
         processes.add(process);
         return process;
     }
@@ -102,7 +96,7 @@
             try {
                 while (true) {
                     Socket side = host.accept();
-                    new BufferedReader(new InputStreamReader(side.getInputStream())).readLine();
+                    ServeTest.reader(side.getInputStream()).readLine();
                     side.getOutputStream().write("UP r\r\n".getBytes(StandardCharsets.US_ASCII));
                 }
             } catch (IOException e) {
@@ -117,7 +111,7 @@
     private static String open(Socket client, String id) throws IOException {
         client.setSoTimeout(PATIENCE_MS);
         client.getOutputStream().write(("OPEN " + id + " k c=p,d=3000\r\n").getBytes(StandardCharsets.US_ASCII));
-        return new BufferedReader(new InputStreamReader(client.getInputStream())).readLine();
+        return ServeTest.reader(client.getInputStream()).readLine();
     }
 
     @Test
--- a/node/src/test/java/embershift/program/ServeTest.java
+++ b/node/src/test/java/embershift/program/ServeTest.java
@@ -21,16 +21,22 @@
 /** The whole program in a process of its own. */
 public class ServeTest {
 
-    private static Process program(String... args) throws IOException {
+    /** The program to be started, with the packages open to it that the jar's manifest opens. */
+    static ProcessBuilder builder(String... args) {
         List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "--add-exports", "java.base/sun.nio.ch=ALL-UNNAMED",
                 "-cp", System.getProperty("java.class.path"), "embershift.program.Main"));
         line.addAll(List.of(args));
         ProcessBuilder builder = new ProcessBuilder(line);
         builder.environment().remove("LB_CONFIG");
-        return builder.redirectErrorStream(true).start();
+        return builder.redirectErrorStream(true);
+    }
+
+    private static Process program(String... args) throws IOException {
+        return builder(args).start();
     }
 
-    private static BufferedReader reader(java.io.InputStream in) {
+    static BufferedReader reader(java.io.InputStream in) {
         return new BufferedReader(new InputStreamReader(in, StandardCharsets.ISO_8859_1));
     }
 
--- a/node/src/test/java/embershift/routing/RouterTest.java
+++ b/node/src/test/java/embershift/routing/RouterTest.java
@@ -5,15 +5,13 @@
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
+import embershift.Loopback;
 import embershift.model.News;
 import embershift.protocol.NodeConfiguration;
-import embershift.transport.Loop;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -29,46 +27,25 @@
 import java.util.stream.Collectors;
 
 /** A router on loopback sockets; the tests play its clients, hosts and discovery themselves. */
-public class RouterTest {
+public class RouterTest extends Loopback {
 
-    private static final int PATIENCE_MS = 10_000;
-
-    private Loop loop;
     private Router router;
     private InetSocketAddress address;
-    private final List<AutoCloseable> open = new ArrayList<>();
     private ServerSocket discovery;
     private boolean rosterOnRequest;
 
     @BeforeMethod
     public void begin() throws IOException {
-        loop = new Loop();
         discovery = listening();
         rosterOnRequest = true;
     }
 
-    @AfterMethod
-    public void end() throws Exception {
-        loop.stop();
-        for (AutoCloseable each : open) {
-            each.close();
-        }
-        open.clear();
-    }
-
-    private ServerSocket listening() throws IOException {
-        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        server.setSoTimeout(PATIENCE_MS);
-        open.add(server);
-        return server;
-    }
-
     /** Starts the router with these hosts known. */
     private void start(String sockets, ServerSocket... hosts) throws Exception {
         NodeConfiguration configuration = configuration(sockets, hosts);
         address = on(() -> {
             router = new Router(loop, configuration, line -> { });
-            return router.listen(configuration.listen(), false);
+            return router.listen(configuration.listen());
         });
     }
 
@@ -89,23 +66,6 @@
                 rosterOnRequest ? "subscribe" : "automatic"), null);
     }
 
-    private interface Step<T> {
-        T take() throws IOException;
-    }
-
-    /** Does something on the loop's thread, and waits until it is done. */
-    private <T> T on(Step<T> step) throws Exception {
-        CompletableFuture<T> done = new CompletableFuture<>();
-        loop.execute(() -> {
-            try {
-                done.complete(step.take());
-            } catch (IOException | RuntimeException e) {
-                done.completeExceptionally(e);
-            }
-        });
-        return done.get();
-    }
-
     private static String entry(ServerSocket host, String lifecycle) {
         return "{\"instanceId\":\"" + name(host) + "\",\"hostPort\":\"127.0.0.1:" + host.getLocalPort()
                 + "\",\"zone\":\"a\",\"lifecycle\":\"" + lifecycle + "\",\"weight\":1,\"startedAtMs\":0}";
@@ -116,35 +76,7 @@
     }
 
     private Socket client(String words) throws IOException {
-        Socket socket = new Socket(address.getAddress(), address.getPort());
-        socket.setSoTimeout(PATIENCE_MS);
-        open.add(socket);
-        say(socket, words);
-        return socket;
-    }
-
-    private Socket accept(ServerSocket server) throws IOException {
-        Socket socket = server.accept();
-        socket.setSoTimeout(PATIENCE_MS);
-        open.add(socket);
-        return socket;
-    }
-
-    private static void say(Socket socket, String words) throws IOException {
-        socket.getOutputStream().write(words.getBytes(StandardCharsets.ISO_8859_1));
-    }
-
-    /** The next line without its end; null at the end of the stream. */
-    private static String hear(Socket socket) throws IOException {
-        InputStream in = socket.getInputStream();
-        StringBuilder line = new StringBuilder();
-        for (int b = in.read(); b >= 0; b = in.read()) {
-            if (b == '\n') {
-                return line.toString().replace("\r", "");
-            }
-            line.append((char) b);
-        }
-        return line.length() == 0 ? null : line.toString();
+        return talk(address, words);
     }
 
     private static void reset(Socket socket) throws IOException {
