A budget of further setups is kept in every window, by construction

Change: rules.extra-free, rules.repeat-ratio and rules.resend-span-s reach the module from the wire and from a node's configuration; one without the others, negative or no number is one clear line.

--- a/core/src/main/java/embershift/model/Deployment.java
+++ b/core/src/main/java/embershift/model/Deployment.java
@@ -10,13 +10,23 @@
         boolean mayCancel, boolean mayOverlap, int mostSetups,
         boolean adviceOnReturn, double longestReturn, double connectTimeout, double answerSlack,
         double drainGrace, double coldFrom, double warmAfter, double fallMultiple, double fallAfter,
-        boolean tunnelsPassThrough, double parkedFor) {
+        Budget budget, boolean tunnelsPassThrough, double parkedFor) {
 
     /** One profile's figures: times in seconds, credit as the deployment counts it. */
     public record Profile(ProfileId id, Repeat repeat, DedupScope dedupScope, double dedupWindow,
                           double setupGoal, double clientTimeout, double credit) {
     }
 
+    /**
+     * Setups beyond each tunnel's first that a node may send in any {@code span} seconds: {@code free}, and
+     * {@code perTunnel} for each tunnel that it took in that time.
+     */
+    public record Budget(double free, double perTunnel, double span) {
+
+        /** Where none is stated. */
+        public static final Budget NONE = new Budget(Double.POSITIVE_INFINITY, 0, 1);
+    }
+
     /** What running a tunnel's setup a second time would do. */
     public enum Repeat { REPEATABLE, REFERENCED, ONCE_ONLY }
 
--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -92,6 +92,7 @@
     /** The hosts by a number of their own: what a group's numbers fall on, alike at all nodes. */
     private final Seats seats = new Seats();
     private final Ring arrived = new Ring(8, PERIOD);
+    private final Allowance allowance;
     private double startedAt;
     /** Whether it was told of tunnels that stood before. */
     private boolean stood;
@@ -136,6 +137,7 @@
         this.filling = filling;
         this.chance = new Chance(deployment.seed());
         this.partings = new Partings(deployment.parkedFor());
+        this.allowance = new Allowance(deployment.budget());
         this.rosterPatience = deployment.mustAskWithin() / 4;
         for (Profile profile : deployment.profiles()) {
             profiles.put(profile.id(), profile);
@@ -253,6 +255,7 @@
         Tunnel tunnel = new Tunnel(id, row, subject, group, now + timeLeft);
         table.put(id, tunnel);
         arrived.add(now, 0, 1);
+        allowance.took(now);
         Host last = midFlow ? partings.recall(subject, now) : null;
         if (last != null && last.takesNew()) {
             send(tunnel, last);
@@ -356,7 +359,8 @@
     private void place(Tunnel tunnel) {
         double left = tunnel.clientGivesUpAt - now;
         boolean worthSending = !farewell.begun() && tunnel.setups < deployment.mostSetups()
-                && left > LEAST_OF_GOAL * tunnel.profile.setupGoal() && mayRunAgain(tunnel);
+                && left > LEAST_OF_GOAL * tunnel.profile.setupGoal() && mayRunAgain(tunnel)
+                && (tunnel.setups == 0 || allowance.left(now) >= 1);  // rule 5
         if (worthSending && pace.full() && mayWait(tunnel)) {
             waiting.add(tunnel);
             return;
@@ -480,7 +484,11 @@
         double usual = opened.sum(now) / Math.max(1, opened.count(now));
         double patience = SLOW_SETUP * Math.max(tunnel.profile.setupGoal(), usual);
         double timeOut = last ? 0 : Math.min(left, patience);
-        tunnel.firstSentAt = tunnel.setups == 0 ? now : tunnel.firstSentAt;
+        if (tunnel.setups == 0) {
+            tunnel.firstSentAt = now;
+        } else {
+            allowance.spent(now);
+        }
         tunnel.setups++;
         tunnel.out = true;
         pace.sent();
--- a/core/src/test/java/embershift/policy/Node.java
+++ b/core/src/test/java/embershift/policy/Node.java
@@ -2,6 +2,7 @@
 
 import embershift.model.Decisions;
 import embershift.model.Deployment;
+import embershift.model.Deployment.Budget;
 import embershift.model.Deployment.DedupScope;
 import embershift.model.Deployment.Profile;
 import embershift.model.Deployment.Repeat;
@@ -33,9 +34,13 @@
     double lastTimeOut;
 
     Node(Repeat repeat, DedupScope scope, int hosts, long seed) {
+        this(repeat, scope, hosts, seed, Budget.NONE);
+    }
+
+    Node(Repeat repeat, DedupScope scope, int hosts, long seed, Budget budget) {
         Profile profile = new Profile(new ProfileId("p"), repeat, scope, 2, 0.5, 3, 1);
         Deployment deployment = new Deployment(seed, 1, new ZoneId("near"), List.of(profile), true, 10,
-                true, true, true, true, false, 4, true, 1.5, 0.25, 0.016, 0.5, 0.3, 8, 3, 2, false, 0);
+                true, true, true, true, false, 4, true, 1.5, 0.25, 0.016, 0.5, 0.3, 8, 3, 2, budget, false, 0);
         filling = new Filling(deployment);
         policy = new Policy(deployment, filling);
         List<Listing> listings = new ArrayList<>();
--- a/emulator/src/main/java/embershift/emulator/world/World.java
+++ b/emulator/src/main/java/embershift/emulator/world/World.java
@@ -186,7 +186,7 @@
                 day.roster().mustAskWithin(), limits.mayProbe(), limits.mayTellNodes(), true, limits.mayCancel(),
                 false, limits.mostSetups(), limits.advice(), limits.longestReturn(), limits.connectTimeout(), 0,
                 day.rules().drainGrace(), day.host().coldFrom(), day.host().warmAfter(), day.rules().fallMultiple(),
-                day.rules().fallAfter(), false, 0);
+                day.rules().fallAfter(), Deployment.Budget.NONE, false, 0);
     }
 
     /** Starts a node's program; its clients come once the front has had its answer. */
--- a/emulator/src/test/java/embershift/emulator/MutationsTest.java
+++ b/emulator/src/test/java/embershift/emulator/MutationsTest.java
@@ -80,7 +80,7 @@
                 of.rosterOnRequest(), of.mustAskWithin(), of.mayProbe(), of.mayTellNodes(), of.reportsCapacity(),
                 of.mayCancel(), of.mayOverlap(), of.mostSetups(), of.adviceOnReturn(), of.longestReturn(),
                 of.connectTimeout(), of.answerSlack(), of.drainGrace(), of.coldFrom(), warmAfter, of.fallMultiple(),
-                of.fallAfter(), of.tunnelsPassThrough(), of.parkedFor());
+                of.fallAfter(), of.budget(), of.tunnelsPassThrough(), of.parkedFor());
     }
 
     /** Troubles enough for every rule: failing and mute hosts, drains, cold ones, a slow store, too much traffic. */
--- a/node/src/main/java/embershift/protocol/DeploymentReader.java
+++ b/node/src/main/java/embershift/protocol/DeploymentReader.java
@@ -1,6 +1,7 @@
 package embershift.protocol;
 
 import embershift.model.Deployment;
+import embershift.model.Deployment.Budget;
 import embershift.model.Deployment.DedupScope;
 import embershift.model.Deployment.Profile;
 import embershift.model.Deployment.Repeat;
@@ -72,10 +73,26 @@
                 flag("limits.retry-after"), numberOr("limits.max-retry-after-s", 0),
                 numberOr("limits.connect-timeout-s", 0), numberOr("rules.answer-slack-s", 0),
                 number("rules.drain-grace-s"), number("rules.cold-from"), number("rules.warm-after-s"),
-                number("rules.fall-multiple"), number("rules.fall-s"),
+                number("rules.fall-multiple"), number("rules.fall-s"), budget(),
                 "pass".equals(pairs.get("domain.mode")), numberOr("domain.park-s", 0));
     }
 
+    /** The budget of further setups: three settings that stand together or not at all. */
+    private Budget budget() throws Unreadable {
+        List<String> paths = List.of("rules.extra-free", "rules.repeat-ratio", "rules.resend-span-s");
+        if (paths.stream().noneMatch(this::stated)) {
+            return Budget.NONE;
+        }
+        Budget budget = new Budget(number(paths.get(0)), number(paths.get(1)), number(paths.get(2)));
+        for (String path : paths) {
+            double least = path.endsWith("span-s") ? Double.MIN_VALUE : 0;
+            if (!(number(path) >= least && number(path) < Double.POSITIVE_INFINITY)) {
+                throw new Unreadable(path + ": expected a number " + (least > 0 ? "above 0" : "of 0 or more"));
+            }
+        }
+        return budget;
+    }
+
     /** Names of the load report's values, in their order. */
     public List<String> reportColumns() {
         String columns = pairs.getOrDefault("report.columns", "");
@@ -91,8 +108,11 @@
     }
 
     private double numberOr(String path, double otherwise) throws Unreadable {
-        String value = pairs.get(path);
-        return value == null || value.equals("-") || value.isEmpty() ? otherwise : number(path);
+        return stated(path) ? number(path) : otherwise;
+    }
+
+    private boolean stated(String path) {
+        return !List.of("", "-").contains(pairs.getOrDefault(path, ""));
     }
 
     private double number(String path) throws Unreadable {
--- a/node/src/test/java/embershift/adapter/AdapterTest.java
+++ b/node/src/test/java/embershift/adapter/AdapterTest.java
@@ -44,6 +44,14 @@
         assertTrue(reply.endsWith("DONE 1\n"), reply);
     }
 
+    @Test
+    public void setupBeyondTheBudgetIsDeclinedAtOnce() throws IOException {
+        String reply = play("BEGIN_BATCH 8.4 1",
+                SPAWN + " rules.extra-free=0 rules.repeat-ratio=0.5 rules.resend-span-s=2", LISTED, TUNNEL, "COMMIT",
+                "BEGIN_BATCH 8.5 2", "REPORT_BACK 3 t1 0 h:1 8 0.1 0 -", "COMMIT");
+        assertTrue(reply.contains("BOUNCE 3 t1 "), reply);
+    }
+
     @Test
     public void listNumbersAreReadInTheOrderOfTheLines() throws IOException {
         String reply = play("BEGIN_BATCH 8.4 1", SPAWN, LISTED, "REGISTER 0 1", "ITEM Gone h:1 k a 1 0 -",
@@ -61,6 +69,10 @@
         return new Object[][] {
             {"NONSENSE 3", "message"}, {"SYNC 3 5 total 1", "table"}, {"ACCEPT 3 t1", "category"},
             {"ACCEPT 3 t1 p - - soon - - 0 0 0", "left-s"}, {"SPAWN 3 42 balancers=1", "profiles.count"},
+            {SPAWN + " rules.extra-free=3", "rules.repeat-ratio"},
+            {SPAWN + " rules.extra-free=3 rules.repeat-ratio=much rules.resend-span-s=2", "rules.repeat-ratio"},
+            {SPAWN + " rules.extra-free=-3 rules.repeat-ratio=0 rules.resend-span-s=2", "rules.extra-free"},
+            {SPAWN + " rules.extra-free=3 rules.repeat-ratio=0 rules.resend-span-s=NaN", "rules.resend-span-s"},
             {"REPORT_BACK 3 t1 0 h:1 99 0.1 1 -", "verdict"}, {"PEER_DATA 3 1 %%", "content"}};
     }
 
--- a/node/src/test/java/embershift/protocol/ProtocolTest.java
+++ b/node/src/test/java/embershift/protocol/ProtocolTest.java
@@ -279,11 +279,25 @@
         assertEquals(deployment.profiles().get(0).dedupScope(), Deployment.DedupScope.CELL);
     }
 
+    @DataProvider
+    public Object[][] budgets() {
+        return new Object[][] {{"", Deployment.Budget.NONE},
+            {"\"extra-free\":10,\"repeat-ratio\":0.05,\"resend-span-s\":2,", new Deployment.Budget(10, 0.05, 2)}};
+    }
+
+    @Test(dataProvider = "budgets")
+    public void budgetOfFurtherSetupsIsReadOrThereIsNone(String rules, Deployment.Budget budget) throws Unreadable {
+        String text = CONFIGURATION.replace("\"rules\":{", "\"rules\":{" + rules);
+        assertEquals(NodeConfiguration.read(text, null).deployment().budget(), budget);
+    }
+
     @DataProvider
     public Object[][] needed() {
         return new Object[][] {{"\"listen\"", "listen"}, {"\"seed\"", "seed"}, {"\"settings\"", "settings"},
             {"\"profiles\"", "profiles.count"}, {"\"setup-goal-s\"", "setup-goal-s"},
-            {"\"fall-s\"", "rules.fall-s"}, {"\"instances\"", "instances"}};
+            {"\"fall-s\"", "rules.fall-s"},
+            {"\"warm-after-s\"", "rules.warm-after-s"},
+            {"\"instances\"", "instances"}};
     }
 
     @Test(dataProvider = "needed")
