Tunnels leave hosts whose messages stay late for their node, and none go there

Checked in taps of the wire: each note of message time holds the way as well (crossing 860 to 950 ms, at home 9 to 30 ms on the same seconds), so neither the roster nor the reports tell it but the node's own tunnels. At fault: messageDelayNoted() did no more than ask the host for the figure that is untrue.

The message goals of the profiles (domain.message-aim-s) reach the module. One late message, two seconds apart, or slow but in time: no effect.

--- a/core/src/main/java/embershift/model/Deployment.java
+++ b/core/src/main/java/embershift/model/Deployment.java
@@ -12,9 +12,12 @@
         double drainGrace, double coldFrom, double warmAfter, double fallMultiple, double fallAfter,
         Budget budget, boolean tunnelsPassThrough, double parkedFor) {
 
-    /** One profile's figures: times in seconds, credit as the deployment counts it. */
+    /**
+     * One profile's figures: times in seconds, credit as the deployment counts it; {@code messageGoal} is how long a
+     * message of an open tunnel may take, infinite where not stated.
+     */
     public record Profile(ProfileId id, Repeat repeat, DedupScope dedupScope, double dedupWindow,
-                          double setupGoal, double clientTimeout, double credit) {
+                          double setupGoal, double clientTimeout, double messageGoal, double credit) {
     }
 
     /**
--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -80,6 +80,8 @@
     private static final double LEAST_OF_GOAL = 0.1;
     /** Periods for which a host that has just failed weighs zero; doubled at each failure that follows. */
     private static final double SHUN = 4;
+    /** Part of a late host's tunnels that are moved at a time. */
+    private static final double LATE_SHARE = 0.5;
 
     private final Deployment deployment;
     private final Map<ProfileId, Profile> profiles = new HashMap<>();
@@ -112,6 +114,9 @@
     /** Whether most hosts look bad: then it is the view that is bad. */
     private boolean doubtful;
     private boolean noneAnswers;
+    private boolean noneTimely;
+    private double shortestMessage = Double.POSITIVE_INFINITY;
+    private double longestMessage;
     private final Ring opened = new Ring(4, PERIOD / 2);
     private final Ring completed = new Ring(8, 2 * PERIOD);
     private double warmHostCanTake;
@@ -141,6 +146,8 @@
         this.rosterPatience = deployment.mustAskWithin() / 4;
         for (Profile profile : deployment.profiles()) {
             profiles.put(profile.id(), profile);
+            shortestMessage = Math.min(shortestMessage, profile.messageGoal());
+            longestMessage = Math.max(longestMessage, profile.messageGoal());
         }
     }
 
@@ -554,6 +561,7 @@
     /** Whether rules, health and list let this host take the tunnel now. */
     private boolean mayTake(Host host, Tunnel tunnel) {
         return used(host) && dropsRepeats(tunnel, host)
+                && (noneTimely || !host.lateness.lasts(now, tunnel.profile.messageGoal()))
                 && (!host.cold() || host.warming.mayTake(now, warmHostCanTake));
     }
 
@@ -635,7 +643,8 @@
         }
         noneAnswers = reachable == 0;
         doubtful = 2 * healthy.size() < reachable;
-        healthy.removeIf(host -> host.cold() || host.noted);
+        noneTimely = healthy.stream().allMatch(host -> host.lateness.lasts(now, longestMessage));
+        healthy.removeIf(host -> host.cold() || host.noted || !noneTimely && host.lateness.lasts(now, longestMessage));
         counted = Math.max(1, healthy.size());
         heard = 0;
         for (Host host : healthy) {
@@ -811,7 +820,12 @@
 
     @Override
     public void messageDelayNoted(HostId at, double delay) {
-        askSinking(hosts.get(at), false);
+        Host host = hosts.get(at);
+        if (host != null) {
+            host.lateness.note(now, delay, shortestMessage);
+            askSinking(host, false);
+            moveOffLate(host, delay);
+        }
     }
 
     /** Guards hosts that sink unasked as no tunnel is to go there; nodes tell each other of them alone. */
@@ -844,13 +858,26 @@
             }
             // Every node moves the same part of its own, so together they move what is too much.
             // What comes from elsewhere does not fall with them: who sinks on loses more of them each time.
-            moveSome(host, Math.min(1, ++host.movedInRow * (host.load - BRIMFUL) / host.load));
+            moveSome(host, Math.min(1, ++host.movedInRow * (host.load - BRIMFUL) / host.load), Double.POSITIVE_INFINITY);
+        }
+    }
+
+    /**
+     * Moves tunnels off a host whose messages come late though it reports room, or nothing: its figure is untrue, or
+     * the way to it is bad. Harms where no host would be better: so not while tunnels find none.
+     */
+    private void moveOffLate(Host host, double delay) {
+        if (host.lateness.persists(now) && !(host.heard() && host.load > SINKING) && now >= host.nextMove
+                && now >= nextLook && !noneTimely) {
+            host.nextMove = now + MOVE_PAUSE * PERIOD;
+            moveSome(host, LATE_SHARE, delay);
         }
     }
 
-    private void moveSome(Host host, double share) {
+    /** Moves part of a host's tunnels, of those that want their messages sooner than they come. */
+    private void moveSome(Host host, double share, double delay) {
         List<Tunnel> standing = new ArrayList<>(host.own.values());
-        standing.removeIf(tunnel -> !tunnel.open || tunnel.moving);
+        standing.removeIf(tunnel -> !tunnel.open || tunnel.moving || tunnel.profile.messageGoal() > delay);
         // The last of a group to leave takes the group's cost along, so tunnels with few of theirs here
         // go first.
         standing.sort(Comparator.<Tunnel>comparingInt(tunnel -> holders.held(tunnel.group, host))
@@ -906,6 +933,7 @@
         int cell;
         double launchedAt;
         final Warming warming = new Warming(deployment, chance);
+        final Lateness lateness = new Lateness(PERIOD);
         /** Whether it was here before it last started: what ends in the fleet ended on it as well. */
         boolean back;
         double load = Double.NaN;
@@ -932,6 +960,7 @@
             load = Double.NaN;
             reportedAt = Double.NEGATIVE_INFINITY;
             shunnedUntil = now;
+            lateness.forget();
             failuresInRow = 0;
             nextProbe = now;
         }
--- a/core/src/test/java/embershift/policy/PolicyTest.java
+++ b/core/src/test/java/embershift/policy/PolicyTest.java
@@ -418,6 +418,49 @@
         assertEquals(node.count("decline"), 0);
     }
 
+    /** A host that reports little while messages there come late: an untrue report, or a bad way to it. */
+    @Test
+    public void tunnelsLeaveAHostWhoseMessagesStayLateAndNoneGoThere() {
+        Node node = new Node(3).loads(0.2, 0.3, 0.3);
+        node.stand(0, 8, 0);
+        node.round(news -> news.messageDelayNoted(Node.host(0), 0.4));
+        assertEquals(node.count("move"), 0);
+        node.now += 1;
+        node.round(news -> news.messageDelayNoted(Node.host(0), 0.4));
+        assertEquals(node.count("move"), 4);
+        node.loads(0.2, 0.3, 0.3).arrive(100, 20, null);
+        assertEquals(node.sentTo(0), 0);
+    }
+
+    @DataProvider
+    public Object[][] notLate() {
+        // A pause and back, two pauses seconds apart, and messages that are slow but still in time.
+        return new Object[][] {{1.0, 0.4, 0.05}, {3.0, 0.4, 0.4}, {1.0, 0.08, 0.08}};
+    }
+
+    @Test(dataProvider = "notLate")
+    public void hostThatOnlyPausesIsNotHeldForLate(double after, double first, double second) {
+        Node node = new Node(3).loads(0.2, 0.3, 0.3);
+        node.stand(0, 8, 0);
+        node.round(news -> news.messageDelayNoted(Node.host(0), first));
+        node.now += after;
+        node.round(news -> news.messageDelayNoted(Node.host(0), second));
+        assertEquals(node.count("move"), 0);
+        node.loads(0.2, 0.3, 0.3).arrive(100, 20, null);
+        assertTrue(node.sentTo(0) > 0);
+    }
+
+    @Test
+    public void whereMessagesComeLateFromAllHostsTheDrawGoesOn() {
+        Node node = new Node(2).loads(0.1, 0.1);
+        for (int i = 0; i < 2; i++) {
+            node.round(news -> IntStream.range(0, 2).forEach(host -> news.messageDelayNoted(Node.host(host), 0.4)));
+            node.now += 1;
+        }
+        node.loads(0.1, 0.1).arrive(0, 20, null);
+        assertEquals(node.count("set up"), 20);
+    }
+
     @Test
     public void hostIsAskedBeforeATunnelGoesThereAndRefusedByItsAnswer() {
         Node node = new Node(40);
--- a/emulator/src/main/java/embershift/emulator/world/World.java
+++ b/emulator/src/main/java/embershift/emulator/world/World.java
@@ -179,7 +179,7 @@
         for (Day.Profile row : day.profile()) {
             profiles.add(new Deployment.Profile(new ProfileId(row.name()),
                     Deployment.Repeat.valueOf(row.repeat().name()), Deployment.DedupScope.valueOf(row.scope().name()),
-                    row.window(), row.goal(), row.patience(), row.credit()));
+                    row.window(), row.goal(), row.patience(), row.message(), row.credit()));
         }
         Day.Limits limits = day.limits();
         return new Deployment(seed, day.fleet().nodes(), new ZoneId(zone), profiles, true,
--- a/emulator/src/test/java/embershift/emulator/MutationsTest.java
+++ b/emulator/src/test/java/embershift/emulator/MutationsTest.java
@@ -68,7 +68,7 @@
 
     private static Module.Maker told(Repeat repeat, DedupScope scope, double window) {
         return maker(deployment -> other(deployment, deployment.warmAfter(), row -> new Deployment.Profile(row.id(), repeat,
-                scope, window, row.setupGoal(), row.clientTimeout(), row.credit())), null, null);
+                scope, window, row.setupGoal(), row.clientTimeout(), row.messageGoal(), row.credit())), null, null);
     }
 
     private static Module.Maker warmAtOnce() {
--- a/node/src/main/java/embershift/protocol/DeploymentReader.java
+++ b/node/src/main/java/embershift/protocol/DeploymentReader.java
@@ -60,7 +60,7 @@
                     referenced ? oneOf(row + "dedup-scope", Map.of("all", DedupScope.ALL,
                             "zone", DedupScope.ZONE, "cell", DedupScope.CELL)) : DedupScope.ALL,
                     referenced ? number(row + "dedup-window-s") : 0,
-                    number(row + "setup-goal-s"), number(row + "client-timeout-s"),
+                    number(row + "setup-goal-s"), number(row + "client-timeout-s"), messageGoal(i),
                     numberOr(row + "credit", 1)));
         }
         boolean asked = oneOf("discovery", Map.of("subscribe", true, "automatic", false));
@@ -77,6 +77,17 @@
                 "pass".equals(pairs.get("domain.mode")), numberOr("domain.park-s", 0));
     }
 
+    /** How long a message of the i-th profile may take. */
+    private double messageGoal(int i) throws Unreadable {
+        String path = "domain.message-aim-s";
+        String[] goals = stated(path) ? pairs.get(path).split(",") : new String[0];
+        try {
+            return i < goals.length ? Double.parseDouble(goals[i]) : Double.POSITIVE_INFINITY;
+        } catch (NumberFormatException e) {
+            throw new Unreadable(path + ": expected numbers set apart by commas");
+        }
+    }
+
     /** The budget of further setups: three settings that stand together or not at all. */
     private Budget budget() throws Unreadable {
         List<String> paths = List.of("rules.extra-free", "rules.repeat-ratio", "rules.resend-span-s");
--- a/node/src/test/java/embershift/protocol/ProtocolTest.java
+++ b/node/src/test/java/embershift/protocol/ProtocolTest.java
@@ -262,7 +262,7 @@
              "settings":{"balancers":5,"az":"a","discovery":"subscribe",
               "profiles":[{"name":"chat","repeat":"deduplicated","dedup-scope":"cell","dedup-window-s":5,
                            "setup-goal-s":0.8,"client-timeout-s":3.2}],
-              "report":{"columns":["q","x0"]},"domain":{"mode":"proxy","park-s":0},
+              "report":{"columns":["q","x0"]},"domain":{"mode":"proxy","park-s":0,"message-aim-s":[0.06]},
               "limits":{"may-probe":false,"may-tell":true,"may-cancel":true,"may-duplicate":false,
                         "most-setups":3,"retry-after":true,"max-retry-after-s":1.5,"connect-timeout-s":0.25},
               "rules":{"answer-slack-s":0.016,"must-ask-in-s":10,"drain-grace-s":1,"cold-from":0.13,
@@ -277,6 +277,7 @@
                 deployment.reportsCapacity(), deployment.mustAskWithin(), configuration.sockets()),
                 List.of(5, false, true, true, 10.0, 4096));
         assertEquals(deployment.profiles().get(0).dedupScope(), Deployment.DedupScope.CELL);
+        assertEquals(deployment.profiles().get(0).messageGoal(), 0.06);
     }
 
     @DataProvider
