Late tunnels move though others are declined; a node that declines looks at five hosts

Half of all crossed since the start, in both directions, so each zone's hosts were full of the other's tunnels, which earned nothing, and moves waited for room that they held themselves. Counted by a trace in the module: of 2,000 declines in five seconds 1,375 by the share of room, 700 by the limit of a busy fleet, with 6 to 8 of 64 hosts heard from. At fault: the wait in moveOffLate(), and one look a second in lookAround().

Change: no wait; a declining node asks up to five hosts in a period whose figure is not fresh.

--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -80,6 +80,8 @@
     private static final double LEAST_OF_GOAL = 0.1;
     /** Periods for which a host that has just failed weighs zero; doubled at each failure that follows. */
     private static final double SHUN = 4;
+    /** Hosts at most that a node which declines tunnels asks in a period. */
+    private static final double LOOKS = 5;
     /** Part of a late host's tunnels that are moved at a time. */
     private static final double LATE_SHARE = 0.5;
 
@@ -392,11 +394,12 @@
     /** No host for a tunnel. Guards against a view that stays dark: who never asks would not hear of new room. */
     private void lookAround() {
         departures.hold(now + PERIOD);
-        if (deployment.mayProbe() && now >= nextLook && !roll.isEmpty()) {
-            nextLook = now + PERIOD;
-            Host host = roll.get((int) (chance.next() * roll.size()));
-            if (host.takesNew()) {
-                ask(host, false);
+        if (deployment.mayProbe() && now >= nextLook) {
+            nextLook = now + PERIOD / LOOKS;
+            List<Host> unsure = roll.stream()
+                    .filter(host -> used(host) && !host.fresh() && !host.probing && !host.cold()).toList();
+            if (!unsure.isEmpty()) {
+                ask(unsure.get((int) (chance.next() * unsure.size())), false);
             }
         }
     }
@@ -864,11 +867,12 @@
 
     /**
      * Moves tunnels off a host whose messages come late though it reports room, or nothing: its figure is untrue, or
-     * the way to it is bad. Harms where no host would be better: so not while tunnels find none.
+     * the way to it is bad. Also while tunnels are declined: those there earn nothing, but hold room of others that would
+     * be in time. Harms where no host would be better: so not while messages come late from all.
      */
     private void moveOffLate(Host host, double delay) {
         if (host.lateness.persists(now) && !(host.heard() && host.load > SINKING) && now >= host.nextMove
-                && now >= nextLook && !noneTimely) {
+                && !noneTimely) {
             host.nextMove = now + MOVE_PAUSE * PERIOD;
             moveSome(host, LATE_SHARE, delay);
         }
