Cold hosts fill in a busy fleet; a rush at this node is taken for one at all

At fault: draw() measured a cold host against the limit by the mean (count), which in a busy fleet is over the limit; expectedLoad() gave one not heard from the others' mean; what exceeds the warm hosts' room was declined before any cold host was looked at; and expectedLoad() took own placements for five at most where nineteen nodes did the same within one report.

Change: cold hosts go by their own load in the limit, empty while not heard from, and may take the excess; own growth since a report stands for each other node's.

--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -127,6 +127,8 @@
     /** What a tunnel adds to a host's load figure in the mean: an empty host can't tell it by its own. */
     private double usualLoadOfOne;
     private double usualLoad;
+    /** Tunnels placed so far, less those that ended on hosts that still stand. */
+    private int grown;
     private final Filling filling;
     private final Departures departures = new Departures();
     private final Farewell farewell = new Farewell(departures, PERIOD);
@@ -338,6 +340,7 @@
         }
         if (current) {
             leave(tunnel);
+            grown -= end == SetupEnd.BROKEN ? 0 : 1;
             if (tunnel.out) {
                 tunnel.out = false;
                 if (end == SetupEnd.ERROR || end == SetupEnd.TIMED_OUT) {
@@ -506,6 +509,7 @@
         host.admit(tunnel);
         mean += host.loadOfOne() / counted;
         host.placedSinceReport++;
+        grown++;
         placed.add(now, 0, 1);
         host.warming.took();
         decisions.setUp(tunnel.id, host.id, timeOut);
@@ -531,16 +535,15 @@
      */
     private Host draw(Tunnel tunnel) {
         survey();
-        if (tunnel.asks == 0 && admitted < 1 && chance.next() >= admitted) {
-            return null;
-        }
-        Host home = tunnel.group == null ? null : drawnForGroup(tunnel);
+        // What is too much for the warm hosts' room may still go where a cold one waits for its part.
+        boolean excess = tunnel.asks == 0 && admitted < 1 && chance.next() >= admitted;
+        Host home = excess || tunnel.group == null ? null : drawnForGroup(tunnel);
         if (home != null) {
             return home;
         }
         List<Host> eligible = new ArrayList<>();
         for (Host host : roll) {
-            if (mayTake(host, tunnel)) {
+            if ((!excess || host.cold()) && mayTake(host, tunnel)) {
                 eligible.add(host);
             }
         }
@@ -552,7 +555,8 @@
             // declines cost less. In a busy fleet one more host to pay for a group costs more than a
             // tunnel earns, but on idle hosts.
             double most = tunnel.group != null && mean > BUSY ? IDLE : BRIMFUL;
-            eligible.removeIf(host -> count(host) > most);
+            // A cold host goes by its own load: with the mean in its place a busy fleet would leave it empty.
+            eligible.removeIf(host -> host.expectedLoad() > most);
         }
         // The few that a node knows just after its start would take all that comes in a rush.
         if (!mayAsk(tunnel) && !fewHeard && eligible.stream().anyMatch(Host::fresh)) {
@@ -777,6 +781,7 @@
                 host.load = load;
                 host.openThere = openTunnels >= 0 ? openTunnels : Double.NaN;
                 host.reportedAt = now;
+                host.grownAtReport = grown;
                 // A setup that is still out is in no report: a rush of them would look like idle hosts.
                 host.placedSinceReport = (int) host.own.values().stream().filter(tun -> tun.out).count();
                 moveOffSinking(host);
@@ -944,6 +949,7 @@
         double openThere = Double.NaN;
         double reportedAt = Double.NEGATIVE_INFINITY;
         int placedSinceReport;
+        int grownAtReport;
         double nextMove = Double.NEGATIVE_INFINITY;
         int failuresInRow;
         int movedInRow;
@@ -1005,9 +1011,13 @@
             return warming.lasts(now);
         }
 
-        /** The latest figure, else the mean of the others', with what this node has placed since. */
+        /**
+         * The latest figure, else the mean of the others', with what this node has placed since. Guards against a rush, as
+         * when many hosts fall at once: what this node has more on all hosts since then, each other node has as well.
+         */
         double expectedLoad() {
-            return (heard() ? load : usualLoad) + placedSinceReport * loadOfOne();
+            double others = Math.max(0, grown - grownAtReport) * (deployment.nodes() - 1) / counted;
+            return (heard() ? load + others * usualLoadOfOne : cold() ? 0 : usualLoad) + placedSinceReport * loadOfOne();
         }
 
         /**
--- a/core/src/test/java/embershift/policy/AllowanceTest.java
+++ b/core/src/test/java/embershift/policy/AllowanceTest.java
@@ -66,7 +66,7 @@
 
     @Test
     public void stormOfFailuresIsAnsweredAtOnceWhenTheBudgetIsSpent() {
-        Node node = new Node(Repeat.REPEATABLE, DedupScope.ALL, 4, 1, BUDGET).loads(0.1, 0.1, 0.1, 0.1);
+        Node node = new Node(Repeat.REPEATABLE, DedupScope.ALL, 4, 1, BUDGET, 1).loads(0.1, 0.1, 0.1, 0.1);
         node.arrive(0, 20, null);
         List<Integer> hosts = node.said.stream().filter(line -> line.startsWith("set up"))
                 .map(line -> Integer.parseInt(line.split(" h")[1])).toList();
@@ -80,7 +80,7 @@
 
     @Test
     public void setupThatWasNeverSentGivesNothingBack() {
-        Node node = new Node(Repeat.REPEATABLE, DedupScope.ALL, 4, 1, new Budget(1, 0, 2)).loads(0.1, 0.1, 0.1, 0.1);
+        Node node = new Node(Repeat.REPEATABLE, DedupScope.ALL, 4, 1, new Budget(1, 0, 2), 1).loads(0.1, 0.1, 0.1, 0.1);
         node.arrive(0, 2, null);
         node.end(0, 0, 0, SetupEnd.FULL);
         node.end(0, 1, 1, SetupEnd.NOT_SENT);
@@ -89,7 +89,7 @@
 
     @Test
     public void tunnelsThatStoodBeforeGiveNoBudget() {
-        Node node = new Node(Repeat.REPEATABLE, DedupScope.ALL, 4, 1, new Budget(0, 1, 2)).loads(0.1, 0.1, 0.1, 0.1);
+        Node node = new Node(Repeat.REPEATABLE, DedupScope.ALL, 4, 1, new Budget(0, 1, 2), 1).loads(0.1, 0.1, 0.1, 0.1);
         node.stand(10, 50, 0);
         node.arrive(0, 1, null);
         assertEquals(node.end(0, 0, node.lastHost(), SetupEnd.FULL).stream().filter(line -> line.startsWith("set up"))
--- a/core/src/test/java/embershift/policy/Node.java
+++ b/core/src/test/java/embershift/policy/Node.java
@@ -34,12 +34,12 @@
     double lastTimeOut;
 
     Node(Repeat repeat, DedupScope scope, int hosts, long seed) {
-        this(repeat, scope, hosts, seed, Budget.NONE);
+        this(repeat, scope, hosts, seed, Budget.NONE, 1);
     }
 
-    Node(Repeat repeat, DedupScope scope, int hosts, long seed, Budget budget) {
+    Node(Repeat repeat, DedupScope scope, int hosts, long seed, Budget budget, int nodes) {
         Profile profile = new Profile(new ProfileId("p"), repeat, scope, 2, 0.5, 3, 0.1, 1);
-        Deployment deployment = new Deployment(seed, 1, new ZoneId("near"), List.of(profile), true, 10,
+        Deployment deployment = new Deployment(seed, nodes, new ZoneId("near"), List.of(profile), true, 10,
                 true, true, true, true, false, 4, true, 1.5, 0.25, 0.016, 0.5, 0.3, 8, 3, 2, budget, false, 0);
         filling = new Filling(deployment);
         policy = new Policy(deployment, filling);
--- a/core/src/test/java/embershift/policy/PolicyTest.java
+++ b/core/src/test/java/embershift/policy/PolicyTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import embershift.model.Deployment.Budget;
 import embershift.model.Deployment.DedupScope;
 import embershift.model.Deployment.Repeat;
 import embershift.model.GroupId;
@@ -437,6 +438,43 @@
         assertEquals(node.sentTo(0), 0);
     }
 
+    @Test
+    public void coldHostIsFilledWhereAllWarmOnesAreBusy() {
+        Node node = new Node(6).loads(0.85, 0.85, 0.85, 0.85, 0.85);
+        node.stand(0, 40, 1);
+        node.now += 3.9;
+        node.loads(0.85, 0.85, 0.85, 0.85, 0.85);
+        node.round(news -> news.rosterChanged(List.of(Node.listing(5, Listing.State.READY, node.now - 4))));
+        long sent = 0;
+        for (int i = 0; i < 40; i++) {
+            node.later(0.1);
+            node.loads(0.85, 0.85, 0.85, 0.85, 0.85).arrive(100 + i, 1, "g" + i);
+            sent += node.sentTo(5);
+            if (node.lastProbed() == 5) {
+                node.round(news -> {
+                    news.probeEnded(Node.host(5), true, 0.01);
+                    news.hostReported(Node.host(5), 0, Double.NaN, Double.NaN);
+                });
+                sent += node.sentTo(5);
+            }
+        }
+        assertTrue(sent > 0);
+    }
+
+    /** Many tunnels come back at once, to this node and so to all others: what they place shows in no report yet. */
+    @Test
+    public void rushIsTakenForOneAtAllNodes() {
+        long[] sent = new long[2];
+        for (int nodes = 1; nodes <= 20; nodes += 19) {
+            Node node = new Node(Repeat.REPEATABLE, DedupScope.ALL, 10, 1, Budget.NONE, nodes);
+            node.stand(1000, 100, 0);
+            node.loads(0.6, 0.6, 0.6, 0.6, 0.6, 0.6, 0.6, 0.6, 0.6, 0.6);
+            node.arrive(0, 60, null);
+            sent[nodes / 20] = node.count("set up");
+        }
+        assertTrue(sent[1] < sent[0] * 2 / 3, sent[0] + " alone, " + sent[1] + " of twenty");
+    }
+
     @Test
     public void lateTunnelsAreMovedThoughOthersAreDeclined() {
         Node node = new Node(3).loads(0.2, 0.95, 0.95);
