--- a/core/src/main/java/embershift/policy/Lateness.java
+++ b/core/src/main/java/embershift/policy/Lateness.java
@@ -2,7 +2,7 @@
 
 /**
  * Whether a host's messages come too late for this node, as its own tunnels there tell. That is true where a report is not:
- * a host that reports too little, or one that is well but behind a slow or lossy way. One late message is a pause.
+ * a host that reports too little, or one that is well but behind a slow or lossy way. One message that is a little late is a pause.
  */
 final class Lateness {
 
@@ -26,10 +26,13 @@
         this.period = period;
     }
 
-    /** A message took this long, where {@code goal} is the shortest that any profile has. */
-    void note(double now, double delay, double goal) {
+    /**
+     * A message took this long, where {@code goal} is the shortest that any profile has; over {@code sure} it is no pause,
+     * but late at once.
+     */
+    void note(double now, double delay, double goal, double sure) {
         boolean late = delay > goal;
-        since = !late ? Double.POSITIVE_INFINITY : now > last + GAP * period ? now : Math.min(since, now);
+        since = delay > sure ? Double.NEGATIVE_INFINITY : !late ? Double.POSITIVE_INFINITY : now > last + GAP * period ? now : Math.min(since, now);
         last = late ? now : last;
         this.delay = delay;
         if (persists(now)) {
--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -830,7 +830,7 @@
     public void messageDelayNoted(HostId at, double delay) {
         Host host = hosts.get(at);
         if (host != null) {
-            host.lateness.note(now, delay, shortestMessage);
+            host.lateness.note(now, delay, shortestMessage, 2 * longestMessage);
             askSinking(host, false);
             moveOffLate(host, delay);
         }
