A host that stands out as empty in a busy fleet takes its part only

Followed in a tap: sends came from nodes that had lost nothing there, so that no death was known to them (doubt() acts only where own tunnels broke); the roster said nothing; the host answered each probe at once, with a true 0. At fault: in a busy fleet a group without a holder goes only to hosts under 0.35, so 147 nodes chose among the two or three that had just shed.

What a host took while warm no longer counts against its credit later.

--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -569,7 +569,15 @@
     private boolean mayTake(Host host, Tunnel tunnel) {
         return used(host) && dropsRepeats(tunnel, host)
                 && (noneTimely || !host.lateness.lasts(now, tunnel.profile.messageGoal()))
-                && (!host.cold() || host.warming.mayTake(now, warmHostCanTake));
+                && (!host.cold() && !hollow(host) || host.warming.mayTake(now, warmHostCanTake));
+    }
+
+    /**
+     * Whether a host stands out as empty in a busy fleet. Guards against one that shed its tunnels or died unlisted, which
+     * all nodes would rush together, and so again and again: each keeps to its part. One that is empty fills in seconds.
+     */
+    private boolean hollow(Host host) {
+        return mean > BUSY && host.heard() && host.load < usualLoad / 2;
     }
 
     private boolean used(Host host) {
--- a/core/src/main/java/embershift/policy/Warming.java
+++ b/core/src/main/java/embershift/policy/Warming.java
@@ -41,7 +41,7 @@
      */
     boolean mayTake(double now, double warmHostCanTake) {
         double climbed = 1 - (until - now) / deployment.warmAfter();
-        double part = deployment.coldFrom() + (1 - deployment.coldFrom()) * Math.max(0, climbed);
+        double part = deployment.coldFrom() + (1 - deployment.coldFrom()) * Math.max(0, Math.min(1, climbed));
         // A node that knows of nothing that ended would never send it anything: one tunnel from all nodes together in
         // the time for which it may be pushed harms no host.
         double rate = Math.max(deployment.fallMultiple() * part * warmHostCanTake,
@@ -53,6 +53,6 @@
     }
 
     void took() {
-        credit -= 1;
+        credit = Math.max(-1, credit - 1);  // what a host took while it was warm does not count against it later
     }
 }
--- a/core/src/test/java/embershift/policy/PolicyTest.java
+++ b/core/src/test/java/embershift/policy/PolicyTest.java
@@ -461,6 +461,27 @@
         assertTrue(sent > 0);
     }
 
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {{0.85, 0, 2}, {0.4, 5, 30}};
+    }
+
+    /** One of eight hosts reports nothing: of fifty nodes in a busy fleet it gets a part from each, in a calm one all. */
+    @Test(dataProvider = "fleets")
+    public void hostThatStandsOutAsEmptyIsRushedInACalmFleetOnly(double load, int least, int most) {
+        Node node = new Node(Repeat.REPEATABLE, DedupScope.ALL, 8, 1, Budget.NONE, 50);
+        for (int host = 1; host < 8; host++) {
+            node.stand(1000 * host, 2, host);
+        }
+        node.loads(0, load, load, load, load, load, load, load);
+        long sent = 0;
+        for (int i = 0; i < 30; i++) {
+            node.arrive(i, 1, "g" + i);
+            sent += node.sentTo(0);
+        }
+        assertTrue(sent >= least && sent <= most, sent + " sent");
+    }
+
     /** Many tunnels come back at once, to this node and so to all others: what they place shows in no report yet. */
     @Test
     public void rushIsTakenForOneAtAllNodes() {
