Cold hosts take groups up to 0.8 of what they can do in a busy fleet

At fault: the limit of 0.35 that keeps groups from spreading over warm hosts held cold ones as well.

--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -555,8 +555,9 @@
             // declines cost less. In a busy fleet one more host to pay for a group costs more than a
             // tunnel earns, but on idle hosts.
             double most = tunnel.group != null && mean > BUSY ? IDLE : BRIMFUL;
-            // A cold host goes by its own load: with the mean in its place a busy fleet would leave it empty.
-            eligible.removeIf(host -> host.expectedLoad() > most);
+            // A cold host goes by its own load, which falls as it warms: by the mean, or by what an idle host is
+            // held to, a busy fleet would leave it empty.
+            eligible.removeIf(host -> host.expectedLoad() > (host.cold() ? BRIMFUL : most));
         }
         // The few that a node knows just after its start would take all that comes in a rush.
         if (!mayAsk(tunnel) && !fewHeard && eligible.stream().anyMatch(Host::fresh)) {
--- a/core/src/test/java/embershift/policy/PolicyTest.java
+++ b/core/src/test/java/embershift/policy/PolicyTest.java
@@ -438,8 +438,13 @@
         assertEquals(node.sentTo(0), 0);
     }
 
-    @Test
-    public void coldHostIsFilledWhereAllWarmOnesAreBusy() {
+    @DataProvider
+    public Object[][] coldLoads() {
+        return new Object[][] {{0.0}, {0.5}};
+    }
+
+    @Test(dataProvider = "coldLoads")
+    public void coldHostIsFilledWhereAllWarmOnesAreBusy(double itsLoad) {
         Node node = new Node(6).loads(0.85, 0.85, 0.85, 0.85, 0.85);
         node.stand(0, 40, 1);
         node.now += 3.9;
@@ -453,7 +458,7 @@
             if (node.lastProbed() == 5) {
                 node.round(news -> {
                     news.probeEnded(Node.host(5), true, 0.01);
-                    news.hostReported(Node.host(5), 0, Double.NaN, Double.NaN);
+                    news.hostReported(Node.host(5), itsLoad, Double.NaN, Double.NaN);
                 });
                 sent += node.sentTo(5);
             }
