--- a/core/src/main/java/embershift/policy/Allowance.java
+++ b/core/src/main/java/embershift/policy/Allowance.java
@@ -3,12 +3,13 @@
 import embershift.model.Deployment.Budget;
 
 /**
- * Guards the budget of setups beyond each tunnel's first (rule 5), in every window that ends at such a setup. Buckets that
- * straddle the window's edge count against the node: their further setups whole, their tunnels taken not at all.
+ * Guards the budget of setups beyond each tunnel's first (rule 5), in every window that ends at such a setup.
+ * Buckets that straddle the window's edge count against the node: their further setups whole, their tunnels
+ * taken not at all.
  */
 final class Allowance {
 
-    /** Buckets in a window: each counted against the node costs this part of what the tunnels of a window give. */
+    /** Buckets in a window: each one counted against the node costs this part of what its tunnels give. */
     private static final int BUCKETS = 32;
 
     private final Budget budget;
--- a/core/src/main/java/embershift/policy/Departures.java
+++ b/core/src/main/java/embershift/policy/Departures.java
@@ -24,8 +24,8 @@
     }
 
     /**
-     * No turn comes before this, as tunnels find no host now: who is moved would be declined, and fares better where it
-     * stands. All that wait are that much later.
+     * No turn comes before this, as tunnels find no host now: who is moved would be declined, and fares
+     * better where it stands. All that wait are that much later.
      */
     void hold(double from) {
         double later = Math.max(0, from - next);
--- a/core/src/main/java/embershift/policy/Farewell.java
+++ b/core/src/main/java/embershift/policy/Farewell.java
@@ -41,7 +41,8 @@
     }
 
     /** Leaving has begun, with these tunnels, whose clients wait no longer than that. */
-    void begin(Collection<Tunnel> tunnels, double now, double longestTimeout, boolean mayAsk, boolean replaced) {
+    void begin(Collection<Tunnel> tunnels, double now, double longestTimeout, boolean mayAsk,
+               boolean replaced) {
         begun = true;
         double stay = Math.min(LONGEST_STAY * period, longestTimeout);
         if (replaced) {
--- a/core/src/main/java/embershift/policy/Filling.java
+++ b/core/src/main/java/embershift/policy/Filling.java
@@ -3,8 +3,9 @@
 import embershift.model.Deployment;
 
 /**
- * How many tunnels fill a warm host, as the hosts' reports tell: what others carry is the guide to what a host that starts
- * can take, also where tunnels last so long that hardly any ends. A process that is replaced tells the one that follows.
+ * How many tunnels fill a warm host, as the hosts' reports tell: what others carry is the guide to what a
+ * host that starts can take, also where tunnels last so long that hardly any ends. A process that is replaced
+ * tells the one that follows.
  */
 public final class Filling {
 
@@ -43,8 +44,8 @@
     }
 
     /**
-     * What a warm host could take of this node's tunnels in a second, if it were filled over the warm-up by all nodes.
-     * A {@code young} node sees less than there is by its own tunnels.
+     * What a warm host could take of this node's tunnels in a second, if it were filled over the warm-up by
+     * all nodes. A {@code young} node sees less than there is by its own tunnels.
      */
     double aSecond(boolean young) {
         if (tunnels >= LEAST_TUNNELS && loads >= LEAST_LOAD) {
--- a/core/src/main/java/embershift/policy/Lateness.java
+++ b/core/src/main/java/embershift/policy/Lateness.java
@@ -1,8 +1,9 @@
 package embershift.policy;
 
 /**
- * Whether a host's messages come too late for this node, as its own tunnels there tell. That is true where a report is not:
- * a host that reports too little, or one that is well but behind a slow or lossy way. One message that is a little late is a pause.
+ * Whether a host's messages come too late for this node, as its own tunnels there tell. That is true where a
+ * report is not: a host that reports too little, or one that is well but behind a slow or lossy way. One
+ * message that is a little late is a pause.
  */
 final class Lateness {
 
@@ -10,7 +11,7 @@
     private static final double GAP = 1.5;
     /** Periods for which messages must have been late. */
     private static final double LEAST = 0.9;
-    /** Periods for which a host counts as late after its last note; doubled at each turn that follows. */
+    /** Periods for which a host counts as late after its last note; up to four times as long by turns. */
     private static final double KEPT = 4;
     /** Such times after which earlier turns are forgotten. */
     private static final double FORGOTTEN = 4;
@@ -27,12 +28,18 @@
     }
 
     /**
-     * A message took this long, where {@code goal} is the shortest that any profile has; over {@code sure} it is no pause,
-     * but late at once.
+     * A message took this long, where {@code goal} is the shortest that any profile has; over {@code sure} it
+     * is no pause, but late at once.
      */
     void note(double now, double delay, double goal, double sure) {
         boolean late = delay > goal;
-        since = delay > sure ? Double.NEGATIVE_INFINITY : !late ? Double.POSITIVE_INFINITY : now > last + GAP * period ? now : Math.min(since, now);
+        if (delay > sure) {
+            since = Double.NEGATIVE_INFINITY;
+        } else if (!late) {
+            since = Double.POSITIVE_INFINITY;
+        } else {
+            since = now > last + GAP * period ? now : Math.min(since, now);
+        }
         last = late ? now : last;
         this.delay = delay;
         if (persists(now)) {
--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -394,7 +394,7 @@
         }
     }
 
-    /** No host for a tunnel. Guards against a view that stays dark: who never asks would not hear of new room. */
+    /** No host for a tunnel. Guards against a dark view: who never asks would not hear of new room. */
     private void lookAround() {
         departures.hold(now + PERIOD);
         if (deployment.mayProbe() && now >= nextLook) {
@@ -555,8 +555,8 @@
             // declines cost less. In a busy fleet one more host to pay for a group costs more than a
             // tunnel earns, but on idle hosts.
             double most = tunnel.group != null && mean > BUSY ? IDLE : BRIMFUL;
-            // A cold host goes by its own load, which falls as it warms: by the mean, or by what an idle host is
-            // held to, a busy fleet would leave it empty.
+            // A cold host goes by its own load, which falls as it warms: by the mean, or by what an idle host
+            // is held to, a busy fleet would leave it empty.
             eligible.removeIf(host -> host.expectedLoad() > (host.cold() ? BRIMFUL : most));
         }
         // The few that a node knows just after its start would take all that comes in a rush.
@@ -574,8 +574,9 @@
     }
 
     /**
-     * Whether a host stands out as empty in a busy fleet. Guards against one that shed its tunnels or died unlisted, which
-     * all nodes would rush together, and so again and again: each keeps to its part. One that is empty fills in seconds.
+     * Whether a host stands out as empty in a busy fleet. Guards against one that shed its tunnels or died
+     * unlisted, which all nodes would rush together, and so again and again: each keeps to its part. One that
+     * is empty fills in seconds.
      */
     private boolean hollow(Host host) {
         return mean > BUSY && host.heard() && host.load < usualLoad / 2;
@@ -660,7 +661,8 @@
         noneAnswers = reachable == 0;
         doubtful = 2 * healthy.size() < reachable;
         noneTimely = healthy.stream().allMatch(host -> host.lateness.lasts(now, longestMessage));
-        healthy.removeIf(host -> host.cold() || host.noted || !noneTimely && host.lateness.lasts(now, longestMessage));
+        healthy.removeIf(host -> host.cold() || host.noted
+                || !noneTimely && host.lateness.lasts(now, longestMessage));
         counted = Math.max(1, healthy.size());
         heard = 0;
         for (Host host : healthy) {
@@ -875,14 +877,16 @@
             }
             // Every node moves the same part of its own, so together they move what is too much.
             // What comes from elsewhere does not fall with them: who sinks on loses more of them each time.
-            moveSome(host, Math.min(1, ++host.movedInRow * (host.load - BRIMFUL) / host.load), Double.POSITIVE_INFINITY);
+            double share = Math.min(1, ++host.movedInRow * (host.load - BRIMFUL) / host.load);
+            moveSome(host, share, Double.POSITIVE_INFINITY);
         }
     }
 
     /**
-     * Moves tunnels off a host whose messages come late though it reports room, or nothing: its figure is untrue, or
-     * the way to it is bad. Also while tunnels are declined: those there earn nothing, but hold room of others that would
-     * be in time. Harms where no host would be better: so not while messages come late from all.
+     * Moves tunnels off a host whose messages come late though it reports room, or nothing: its figure is
+     * untrue, or the way to it is bad. Also while tunnels are declined: those there earn nothing, but hold
+     * room of others that would be in time. Harms where no host would be better: so not while messages come
+     * late from all.
      */
     private void moveOffLate(Host host, double delay) {
         if (host.lateness.persists(now) && !(host.heard() && host.load > SINKING) && now >= host.nextMove
@@ -1021,12 +1025,14 @@
         }
 
         /**
-         * The latest figure, else the mean of the others', with what this node has placed since. Guards against a rush, as
-         * when many hosts fall at once: what this node has more on all hosts since then, each other node has as well.
+         * The latest figure, else the mean of the others', with what this node has placed since. Guards
+         * against a rush, as when many hosts fall at once: what this node has more on all hosts since then,
+         * each other node has as well.
          */
         double expectedLoad() {
             double others = Math.max(0, grown - grownAtReport) * (deployment.nodes() - 1) / counted;
-            return (heard() ? load + others * usualLoadOfOne : cold() ? 0 : usualLoad) + placedSinceReport * loadOfOne();
+            double known = heard() ? load + others * usualLoadOfOne : cold() ? 0 : usualLoad;
+            return known + placedSinceReport * loadOfOne();
         }
 
         /**
--- a/core/src/main/java/embershift/policy/Warming.java
+++ b/core/src/main/java/embershift/policy/Warming.java
@@ -3,8 +3,8 @@
 import embershift.model.Deployment;
 
 /**
- * Guards a host that has just started (rule 4): this node's part of what all nodes together may send it until it is
- * warm, as credit that grows with what it can do by then.
+ * Guards a host that has just started (rule 4): this node's part of what all nodes together may send it until
+ * it is warm, as credit that grows with what it can do by then.
  */
 final class Warming {
 
@@ -36,14 +36,14 @@
     }
 
     /**
-     * Whether there is credit for one more tunnel. What a warm host could take in a second is what this node's tunnels
-     * on one come to an end, over its load: moves and returns do not swell that.
+     * Whether there is credit for one more tunnel. What a warm host could take in a second is what this
+     * node's tunnels on one come to an end, over its load: moves and returns do not swell that.
      */
     boolean mayTake(double now, double warmHostCanTake) {
         double climbed = 1 - (until - now) / deployment.warmAfter();
         double part = deployment.coldFrom() + (1 - deployment.coldFrom()) * Math.max(0, Math.min(1, climbed));
-        // A node that knows of nothing that ended would never send it anything: one tunnel from all nodes together in
-        // the time for which it may be pushed harms no host.
+        // A node that knows of nothing that ended would never send it anything: one tunnel from all nodes
+        // together in the time for which it may be pushed harms no host.
         double rate = Math.max(deployment.fallMultiple() * part * warmHostCanTake,
                 1 / (deployment.fallAfter() * deployment.nodes()));
         double most = Math.max(1, rate * deployment.fallAfter());
@@ -53,6 +53,7 @@
     }
 
     void took() {
-        credit = Math.max(-1, credit - 1);  // what a host took while it was warm does not count against it later
+        // What a host took while it was warm does not count against it later.
+        credit = Math.max(-1, credit - 1);
     }
 }
--- a/node/src/main/java/embershift/protocol/DeploymentReader.java
+++ b/node/src/main/java/embershift/protocol/DeploymentReader.java
@@ -97,7 +97,8 @@
         Budget budget = new Budget(number(paths.get(0)), number(paths.get(1)), number(paths.get(2)));
         for (String path : paths) {
             double least = path.endsWith("span-s") ? Double.MIN_VALUE : 0;
-            if (!(number(path) >= least && number(path) < Double.POSITIVE_INFINITY)) {
+            double value = number(path);
+            if (!(value >= least && value < Double.POSITIVE_INFINITY)) {
                 throw new Unreadable(path + ": expected a number " + (least > 0 ? "above 0" : "of 0 or more"));
             }
         }
