A stopped process neither holds up nor undoes operators' calls at the other

Cause: who changed the hosts out by hand held byte 512 of the shared lock file from reading the list to writing it. /proc/locks at each late answer showed the stopped process holding it and the other one waiting on its one thread for disk work, which also tells it of the other's descriptors and bans. A second one: a call left in a stopped process's kernel queue was carried out when it went on, over the contrary that had been answered elsewhere since.

Change: each change is a list of its own under the next number, made by a hard link, which fails where the number is taken; nobody holds anything that others wait for. Who was stopped in the middle finds its number gone and drops the change once its caller can't be waiting any more. A process that may have stood still for the time owed answers exclude and include 503 while it reads what had piled up. Looking for who serves takes shared locks, so that one stopped while it looks is not taken for a server.

--- a/node/src/main/java/embershift/operations/Bans.java
+++ b/node/src/main/java/embershift/operations/Bans.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -20,15 +21,22 @@
     public interface Keeping {
 
         /**
-         * Keeps one change; returns all bans that hold with it, or null where it can't be kept. {@code known}: the bans
-         * that hold here, for where what was kept can't be read any more.
+         * Keeps one change. {@code known}: the bans that hold here, for where what was kept can't be read any more.
+         * {@code inTime}: whether the caller may still wait; once not, no change goes over one that another kept since.
          */
-        Collection<HostId> change(HostId host, boolean out, Collection<HostId> known);
+        Kept change(HostId host, boolean out, Collection<HostId> known, BooleanSupplier inTime);
 
         /** All bans that hold, or null where that can't be read now. */
         Collection<HostId> read();
     }
 
+    /** What became of a change; {@code bans}: all that hold now, or null where that can't be told. */
+    public record Kept(End end, Collection<HostId> bans) {
+    }
+
+    /** Kept; holds in this process only; or came so late that it may not go over what others were told meanwhile. */
+    public enum End { KEPT, HERE_ONLY, TOO_LATE }
+
     private final Loop loop;
     private final Router router;
     private final Keeping keeping;
@@ -45,27 +53,28 @@
         this.keeping = keeping;
     }
 
-    /** Takes a host out or back; {@code done} hears once that holds, and whether it outlasts this process. */
-    void change(HostId host, boolean banned, Consumer<Boolean> done) {
+    /** Takes a host out or back; {@code done} hears once it is known what became of that. */
+    void change(HostId host, boolean banned, Consumer<End> done) {
         long change = ++changes;
+        double owed = loop.now() + Stillness.OWED;
         set(host, banned, () -> {
             if (keeping == null) {
-                done.accept(false);
+                done.accept(End.HERE_ONLY);
                 return;
             }
             List<HostId> known = List.copyOf(out);
             loop.aside(() -> {
-                Collection<HostId> kept = keeping.change(host, banned, known);
+                Kept kept = keeping.change(host, banned, known, () -> loop.now() < owed);
                 loop.execute(() -> {
-                    if (kept == null && banned) {
+                    if (kept.end == End.HERE_ONLY && banned) {
                         notKept.add(host);
                     } else {
                         notKept.remove(host);
                     }
                     if (change == changes) {
-                        follow(kept);
+                        follow(kept.bans);
                     }
-                    done.accept(kept != null);
+                    done.accept(kept.end);
                 });
             });
         });
--- a/node/src/main/java/embershift/operations/Callers.java
+++ b/node/src/main/java/embershift/operations/Callers.java
@@ -32,6 +32,7 @@
     private final IntSupplier most;
     /** Those without a whole call, oldest first. */
     private final Set<Caller> waiting = new LinkedHashSet<>();
+    private final Stillness stillness;
 
     /** {@code most}: descriptors that the process may hold now. */
     public Callers(Loop loop, Desk desk, Tally tally, IntSupplier most) {
@@ -39,15 +40,22 @@
         this.desk = desk;
         this.tally = tally;
         this.most = most;
+        stillness = new Stillness(loop.now());
     }
 
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
+        beat();
         return loop.listen(address, this::makeRoom, link -> {
             tally.count("operators' connections");
             new Caller(link);
         }).address();
     }
 
+    private void beat() {
+        stillness.beat(loop.now());
+        loop.after(Stillness.BEAT, this::beat);
+    }
+
     /** Whether one more may come in, once others have made room. */
     private boolean makeRoom() {
         while (waiting.size() >= MOST) {
@@ -112,7 +120,7 @@
             try {
                 if (call.read(bytes)) {
                     leaveQueue();
-                    desk.take(call, this::last);
+                    desk.take(call, stillness.mayHaveWaited(loop.now()), this::last);
                 }
             } catch (HttpRequest.Refused e) {
                 last(HttpAnswer.error(e.status(), e.getMessage()));
--- a/node/src/main/java/embershift/operations/Desk.java
+++ b/node/src/main/java/embershift/operations/Desk.java
@@ -29,8 +29,11 @@
         this.ready = ready;
     }
 
-    /** Answers a call, now or, where it takes effect with the next round, after that. */
-    public void take(HttpRequest call, Consumer<HttpAnswer> answer) {
+    /**
+     * Answers a call, now or, where it takes effect with the next round, after that. {@code waited}: it may have lain
+     * here so long that its caller has given up, and has since had the contrary done at another process.
+     */
+    public void take(HttpRequest call, boolean waited, Consumer<HttpAnswer> answer) {
         List<String> path = call.path();
         String name = path.size() > 1 && path.get(0).equals(ROOT) ? path.get(1) : "";
         boolean figures = path.size() == 2 && (name.equals("ready") || name.equals("telemetry"));
@@ -40,6 +43,8 @@
             answer.accept(HttpAnswer.error(404, "no such call"));
         } else if (!call.method().equals(method)) {
             answer.accept(HttpAnswer.onlyBy(method));
+        } else if (byHand && waited) {
+            answer.accept(HttpAnswer.error(503, "this process stood still, nothing was changed: call again"));
         } else if (byHand) {
             byHand(new HostId(path.get(2)), name.equals("exclude"), answer);
         } else {
@@ -57,8 +62,10 @@
             answer.accept(HttpAnswer.error(404, "no host " + host.name() + " is known here"));
             return;
         }
-        bans.change(host, out, kept -> answer.accept(HttpAnswer.of(200, "{\"host\":" + Json.quoted(host.name())
-                + ",\"out\":" + out + ",\"kept\":" + kept + "}")));
+        bans.change(host, out, end -> answer.accept(end == Bans.End.TOO_LATE
+                ? HttpAnswer.error(503, "this process stood still in the middle of it: look which hosts are out, call again")
+                : HttpAnswer.of(200, "{\"host\":" + Json.quoted(host.name()) + ",\"out\":" + out + ",\"kept\":"
+                + (end == Bans.End.KEPT) + "}")));
     }
 
     private HttpAnswer telemetry() {
--- a/node/src/main/java/embershift/program/Neighbours.java
+++ b/node/src/main/java/embershift/program/Neighbours.java
@@ -11,43 +11,53 @@
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryIteratorException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
  * The processes that serve at one address, as they see each other in a folder that they have in common: each holds a byte
  * of a lock file from its yes until it leaves, which the system frees when it dies, however that was, and has written how
- * many descriptors it holds. Beside it lie the hosts out by hand. What can't be read or written is told once each, and the
+ * many descriptors it holds. Beside it lie the hosts out by hand, a list a change. Nobody waits for another here, as that
+ * one may be stopped. What can't be read or written is told once each, and the
  * node serves on without. All calls may wait for a disk.
  */
 final class Neighbours implements Bans.Keeping {
 
     /** Processes that can tell each other apart at one address. */
     private static final int MOST = 8;
-    /** Where in the lock file the descriptors stand, and the byte that who changes the bans holds. */
+    /** Where in the lock file the descriptors stand. */
     private static final int WORDS = 16;
-    private static final int CHANGING = 512;
+    /** Lists of bans that lie there at a time; times that a change, or a reading, is tried while others write. */
+    private static final int LISTS = 16;
+    private static final int MOST_TRIES = 64;
 
-    private final Path bans;
+    private final Path folder;
+    /** How the lists' names begin; their numbers follow. */
+    private final String lists;
     private final FileChannel channel;
     private final Consumer<String> log;
     private final Set<String> told = new LinkedHashSet<>();
     private FileLock own;
-    /** Whether there was a file of bans: one that is gone since then does not say that none hold. */
-    private boolean seen;
+    /** The number of the last list seen, or 0: that it is gone since then does not say that none hold. */
+    private long last;
 
     private Neighbours(Path folder, String address, Consumer<String> log) throws IOException {
         this.log = log;
+        this.folder = folder;
         String name = "embershift-" + address.replaceAll("[^0-9A-Za-z.]", "-");
-        bans = folder.resolve(name + ".bans");
+        lists = name + ".bans.";
         // Kept open: closed, even a second channel to it would give all locks of this process up.
         channel = FileChannel.open(folder.resolve(name + ".lock"), StandardOpenOption.CREATE, StandardOpenOption.READ,
                 StandardOpenOption.WRITE);
@@ -70,7 +80,7 @@
     synchronized void serve() {
         try {
             for (int slot = 0; own == null && slot < MOST; slot++) {
-                own = locked(slot);
+                own = locked(slot, false);
             }
         } catch (IOException e) {
             tell("the others can't see that this process serves", e);
@@ -88,10 +98,13 @@
         }
     }
 
-    /** The lock on a slot, or null while another process, or another node in this one, holds it. */
-    private FileLock locked(int slot) throws IOException {
+    /**
+     * The lock on a slot, or null while another process, or another node in this one, holds it. {@code shared}: only to
+     * look; one that is stopped while it looks must not be taken by the others for one that serves.
+     */
+    private FileLock locked(int slot, boolean shared) throws IOException {
         try {
-            return channel.tryLock(slot, 1, false);
+            return channel.tryLock(slot, 1, shared);
         } catch (OverlappingFileLockException e) {
             return null;
         }
@@ -113,7 +126,7 @@
                     channel.write(word.putInt(mine.descriptors).putDouble(mine.filling).flip(), at);
                     continue;
                 }
-                FileLock lock = locked(slot);
+                FileLock lock = locked(slot, true);
                 if (lock != null) {
                     lock.release();
                 } else {
@@ -137,44 +150,128 @@
 
     @Override
     public synchronized Collection<HostId> read() {
+        Latest latest = latest();
+        return latest == null ? null : latest.bans;
+    }
+
+    /** The last list that was written, and its number; 0 and none where there has been no list yet. */
+    private record Latest(long number, Collection<HostId> bans) {
+    }
+
+    /** Null where it can't be told; the number of the last list that was seen stands in {@code last} all the same. */
+    private Latest latest() {
         try {
-            if (!Files.exists(bans)) {
-                if (seen) {
-                    throw new Unreadable("it is gone");
+            for (int tries = 0; tries < MOST_TRIES; tries++) {
+                long before = last;
+                look();
+                if (last == 0) {
+                    return new Latest(0, List.of());
+                }
+                Path list = list(last);
+                try {
+                    if (Files.size(list) > BanList.LONGEST) {
+                        throw new Unreadable("over " + BanList.LONGEST + " bytes");
+                    }
+                    return new Latest(last, BanList.read(Files.readString(list, StandardCharsets.UTF_8)));
+                } catch (NoSuchFileException e) {
+                    // Others wrote so many meanwhile that this one was swept away; or all lists are gone.
+                    if (before == last) {
+                        throw new Unreadable("it is gone");
+                    }
                 }
-                return List.of();
-            }
-            seen = true;
-            if (Files.size(bans) > BanList.LONGEST) {
-                throw new Unreadable("over " + BanList.LONGEST + " bytes");
             }
-            return BanList.read(Files.readString(bans, StandardCharsets.UTF_8));
-        } catch (IOException | Unreadable e) {
-            tell("hosts out by hand can't be read from " + bans, e);
+            throw new Unreadable("others write faster than this process reads");
+        } catch (IOException | DirectoryIteratorException | Unreadable e) {
+            tell("hosts out by hand can't be read from " + folder.resolve(lists), e);
             return null;
         }
     }
 
+    private Path list(long number) {
+        return folder.resolve(lists + number);
+    }
+
+    /** Finds the last list: one at a time from the last one known, or all of them where that one is not there. */
+    private void look() throws IOException {
+        if (last == 0 || !Files.exists(list(last))) {
+            try (DirectoryStream<Path> all = Files.newDirectoryStream(folder, lists + "*")) {
+                for (Path path : all) {
+                    last = Math.max(last, number(path));
+                }
+            }
+        }
+        while (Files.exists(list(last + 1))) {
+            last++;
+        }
+    }
+
+    /** 0 for what is no list. */
+    private long number(Path path) {
+        String number = path.getFileName().toString().substring(lists.length());
+        return number.matches("[1-9]\\d{0,17}") ? Long.parseLong(number) : 0;
+    }
+
+    /**
+     * Each change is a list of its own under the next number, and only one process can give a file a name that none has:
+     * so nobody holds anything that the others wait for, and who was stopped in the middle of a change finds, when it goes
+     * on, that its number has gone. A call that changes nothing takes a number too: else one that was stopped before it
+     * could still go over it.
+     */
     @Override
-    public synchronized Collection<HostId> change(HostId host, boolean out, Collection<HostId> known) {
-        // Both processes may be told something at once: neither may write over what the other has just written.
-        try (FileLock lock = channel.lock(CHANGING, 1, false)) {
-            Collection<HostId> before = read();
-            Set<HostId> after = new LinkedHashSet<>(before == null ? known : before);
-            boolean changed = out ? after.add(host) : after.remove(host);
-            if (changed || before == null) {
+    public synchronized Bans.Kept change(HostId host, boolean out, Collection<HostId> known, BooleanSupplier inTime) {
+        try {
+            for (int tries = 0; tries < MOST_TRIES; tries++) {
+                Latest before = latest();
+                Set<HostId> after = new LinkedHashSet<>(before == null ? known : before.bans);
+                if (out) {
+                    after.add(host);
+                } else {
+                    after.remove(host);
+                }
                 if (after.size() > BanList.MOST) {
                     throw new IOException("over " + BanList.MOST + " hosts");
                 }
-                Path aside = bans.resolveSibling(bans.getFileName() + ".new");
-                Files.writeString(aside, BanList.write(after), StandardCharsets.UTF_8);
-                Files.move(aside, bans, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-                seen = true;
+                long next = last + 1;
+                if (written(next, BanList.write(after))) {
+                    if (!inTime.getAsBoolean()) {
+                        // Stopped so long that its number may have been given, swept away and given again.
+                        return new Bans.Kept(Bans.End.TOO_LATE, read());
+                    }
+                    last = next;
+                    sweep();
+                    return new Bans.Kept(Bans.End.KEPT, after);
+                }
+                if (!inTime.getAsBoolean()) {
+                    return new Bans.Kept(Bans.End.TOO_LATE, read());
+                }
             }
-            return after;
-        } catch (IOException | OverlappingFileLockException e) {
+            throw new IOException("others change them all the time");
+        } catch (IOException | DirectoryIteratorException e) {
             tell("a host out by hand is known to this process only", e);
-            return null;
+            return new Bans.Kept(Bans.End.HERE_ONLY, null);
+        }
+    }
+
+    /** Whether the list is now the one of that number; not where there was one. */
+    private boolean written(long number, String text) throws IOException {
+        Path aside = folder.resolve(lists + "new-" + ProcessHandle.current().pid());
+        Files.writeString(aside, text, StandardCharsets.UTF_8);
+        try {
+            Files.createLink(list(number), aside);
+            return true;
+        } catch (FileAlreadyExistsException e) {
+            return false;
+        } catch (UnsupportedOperationException e) {
+            throw new IOException("no two names for one file here", e);
+        } finally {
+            Files.deleteIfExists(aside);
+        }
+    }
+
+    /** Takes away the lists of long ago. */
+    private void sweep() throws IOException {
+        for (long old = last - LISTS; old > 0 && Files.deleteIfExists(list(old)); old--) {
+            continue;
         }
     }
 
--- a/node/src/test/java/embershift/program/ReplaceTest.java
+++ b/node/src/test/java/embershift/program/ReplaceTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import embershift.model.HostId;
+import embershift.operations.Bans;
 import embershift.protocol.BanList;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -19,6 +20,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -177,7 +180,7 @@
         awaitTelemetry(management[0], "\"out_of_rotation\":1");
         next.destroyForcibly().waitFor();
         assertTrue(call(management[0], "POST /api/include/s").contains("\"kept\":true"));
-        assertEquals(BanList.read(Files.readString(folder.resolve("embershift-127.0.0.1-" + port + ".bans"))), Set.of());
+        assertEquals(BanList.read(Files.readString(folder.resolve("embershift-127.0.0.1-" + port + ".bans.4"))), Set.of());
     }
 
     private void awaitTelemetry(int management, String part) throws Exception {
@@ -194,7 +197,7 @@
         Process dead = start(port, management[0]);
         awaitReady(management[0]);
         dead.destroyForcibly().waitFor();
-        Files.writeString(folder.resolve("embershift-127.0.0.1-" + port + ".bans"), "embershift-bans 1 0\n[\"s\"]\n");
+        Files.writeString(folder.resolve("embershift-127.0.0.1-" + port + ".bans.1"), "embershift-bans 1 0\n[\"s\"]\n");
         Process next = start(port, management[1]);
         awaitReady(management[1]);
         assertTrue(call(management[1], "GET /api/telemetry").contains("\"out_of_rotation\":0"));
@@ -221,37 +224,70 @@
         assertFalse(Files.readString(folder.resolve("log-" + management[0])).contains("another process serves"));
     }
 
+    private static Collection<HostId> change(Neighbours one, String host, boolean out, List<HostId> known) {
+        return one.change(new HostId(host), out, known, () -> true).bans();
+    }
+
     @Test
     public void banThatCannotBeWrittenHoldsHereAndIsToldOnce() throws Exception {
         List<String> log = new ArrayList<>();
         Neighbours one = Neighbours.in(folder.toString(), "a:1", log::add);
-        Path aside = folder.resolve("embershift-a-1.bans.new");
+        Path aside = folder.resolve("embershift-a-1.bans.new-" + ProcessHandle.current().pid());
         Files.createDirectory(aside);
-        assertTrue(one.change(new HostId("h"), true, List.of()) == null);
-        assertTrue(one.change(new HostId("h"), true, List.of()) == null);
+        assertEquals(change(one, "h", true, List.of()), null);
+        assertEquals(change(one, "h", true, List.of()), null);
         assertEquals(log.size(), 1, log.toString());
         Files.delete(aside);
-        assertEquals(one.change(new HostId("h"), true, List.of()), Set.of(new HostId("h")));
+        assertEquals(change(one, "h", true, List.of()), Set.of(new HostId("h")));
         assertEquals(one.read(), Set.of(new HostId("h")));
-        assertEquals(one.change(new HostId("h"), false, List.of()), Set.of());
+        assertEquals(change(one, "h", false, List.of()), Set.of());
     }
 
     @Test
     public void bansOutlastAFileThatIsDamagedOrGone() throws Exception {
         Neighbours one = Neighbours.in(folder.toString(), "a:1", line -> { });
-        Path file = folder.resolve("embershift-a-1.bans");
+        Path file = folder.resolve("embershift-a-1.bans.1");
         List<HostId> known = List.of(new HostId("a"), new HostId("b"));
         assertEquals(one.read(), List.of());
-        one.change(new HostId("a"), true, List.of());
+        change(one, "a", true, List.of());
         Files.writeString(file, "embershift-bans 9");
         assertTrue(one.read() == null);
-        assertEquals(Set.copyOf(one.change(new HostId("b"), true, known)), Set.copyOf(known));
+        assertEquals(Set.copyOf(change(one, "b", true, known)), Set.copyOf(known));
         Files.delete(file);
+        Files.delete(folder.resolve("embershift-a-1.bans.2"));
         assertTrue(one.read() == null, "none is not what that says");
-        assertEquals(Set.copyOf(one.change(new HostId("b"), true, known)), Set.copyOf(known));
+        assertEquals(Set.copyOf(change(one, "b", true, known)), Set.copyOf(known));
         assertEquals(Set.copyOf(one.read()), Set.copyOf(known));
     }
 
+    /** As a process does that is stopped between its reading and its writing. */
+    @Test
+    public void changeThatWasOvertakenGoesOnTopInTimeAndIsDroppedAfterThat() throws Exception {
+        for (boolean inTime : new boolean[] {true, false}) {
+            Neighbours one = Neighbours.in(folder.toString(), "a:" + inTime, line -> { });
+            Neighbours other = Neighbours.in(folder.toString(), "a:" + inTime, line -> { });
+            // Damaged, so that the change looks at what is known here, which is where the other one comes between.
+            Files.writeString(folder.resolve("embershift-a-" + inTime + ".bans.1"), "embershift-bans 9");
+            List<HostId> known = new ArrayList<>(List.of(new HostId("k"))) {
+                @Override
+                public Object[] toArray() {
+                    change(other, "b", true, List.of());
+                    return super.toArray();
+                }
+
+                @Override
+                public Iterator<HostId> iterator() {
+                    change(other, "b", true, List.of());
+                    return super.iterator();
+                }
+            };
+            Bans.Kept kept = one.change(new HostId("b"), false, known, () -> inTime);
+            assertEquals(kept.end(), inTime ? Bans.End.KEPT : Bans.End.TOO_LATE);
+            assertEquals(Set.copyOf(kept.bans()), inTime ? Set.of() : Set.of(new HostId("b")));
+            assertEquals(other.read(), kept.bans());
+        }
+    }
+
     @Test
     public void processesSeeWhoServesBesideThemAndWhatTheyHold() throws Exception {
         Neighbours one = Neighbours.in(folder.toString(), "a:1", line -> { });
