--- /dev/null
+++ b/fleet/src/main/java/embershift/fleet/Replica.java
@@ -0,0 +1,506 @@
+package embershift.fleet;
+
+import embershift.raft.Bounds;
+import embershift.raft.Entry;
+import embershift.raft.Keeper;
+import embershift.raft.Member;
+import embershift.raft.MemberId;
+import embershift.raft.Message;
+import embershift.raft.Outside;
+import embershift.raft.Pace;
+import embershift.raft.Raft;
+import embershift.raft.Restored;
+import embershift.raft.Snapshot;
+import embershift.raft.Vote;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * An instance without its sockets and its disk: a member of the group that agrees, the record, and the calls that wait.
+ * Fed time, messages, calls and the news of what is on disk; decides only.
+ */
+public final class Replica {
+
+    /** What an instance has done for it; may be called back from within any call, and must not call in itself. */
+    public interface Port {
+
+        void send(MemberId to, Message message);
+
+        /** {@link Replica#durable} is owed for each, in order. */
+        void persist(Keeper.Order order);
+
+        /** See {@link Outside#sure}. */
+        void sure();
+
+        /** Each call is answered once at the most; one that is not within its time is unknown. */
+        void answer(long call, Answer answer);
+
+        /** This member leads from now on, or follows; {@code leader} is null where nobody is known to lead. */
+        void role(boolean leads, long term, MemberId leader);
+
+        /** Nothing more may be done here: one line that says why. */
+        void stop(String why);
+    }
+
+    /**
+     * When a snapshot is made: after so many entries, or bytes of entries, since the one before; and after how many
+     * entries states are compared.
+     */
+    public record Habits(int entries, long bytes, int sums) {
+
+        public static final Habits USUAL = new Habits(10_000, 16L << 20, 4096);
+    }
+
+    private interface Call {
+        void at(Record state);
+    }
+
+    private record Pending(long call, long term) {
+    }
+
+    private record Waiting(long index, Call call) {
+    }
+
+    private record Watch(long call, String prefix, long from) {
+    }
+
+    private static final int MOST_WATCHES = 4096;
+    /** States of the past that are remembered to be compared. */
+    private static final int MOST_SUMS = 8;
+    private static final byte SUM = 1;
+
+    private final Raft raft;
+    private final Port port;
+    private final Habits habits;
+    private Record record;
+    private double now;
+    private long tickets;
+    private final TreeMap<Long, Pending> pending = new TreeMap<>();
+    private final Map<Long, Call> asked = new HashMap<>();
+    private final Map<Long, Long> askers = new HashMap<>();
+    private final List<Waiting> waiting = new ArrayList<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private long snapshotAt;
+    private long bytesSince;
+    private boolean changed;
+    private boolean stopped;
+    /** When each session ends, by this leader's time; kept by nobody else. */
+    private final Map<SessionId, Double> ends = new HashMap<>();
+    private final TreeMap<Long, Map<MemberId, Integer>> sums = new TreeMap<>();
+    private final List<Long> sumsToTell = new ArrayList<>();
+
+    public Replica(MemberId self, Pace pace, Bounds bounds, Habits habits, Restored restored, long run, long seed,
+                   Port port) {
+        this.port = port;
+        this.habits = habits;
+        Snapshot snapshot = restored.snapshot();
+        record = snapshot == null ? new Record() : Record.of(snapshot.data());
+        snapshotAt = snapshot == null ? 0 : snapshot.index();
+        raft = new Raft(self, pace, bounds, restored, run, seed, new Side());
+    }
+
+    /** What others may see of the agreement; not to be fed. */
+    public Raft raft() {
+        return raft;
+    }
+
+    /** What others may see of the record as this instance has it; behind the leader's, maybe far. */
+    public Record record() {
+        return record;
+    }
+
+    public boolean leads() {
+        return raft.role() == Raft.Role.LEADER;
+    }
+
+    private final class Side implements Outside {
+
+        @Override
+        public void send(MemberId to, Message message) {
+            port.send(to, message);
+        }
+
+        @Override
+        public void persist(long number, Vote vote, Snapshot snapshot, boolean alone, List<Entry> entries) {
+            port.persist(new Keeper.Order(number, vote, snapshot, alone, entries));
+        }
+
+        @Override
+        public void sure() {
+            port.sure();
+        }
+
+        @Override
+        public void commit(Entry entry) {
+            apply(entry);
+        }
+
+        @Override
+        public void restore(Snapshot snapshot) {
+            record = Record.of(snapshot.data());
+            snapshotAt = snapshot.index();
+            bytesSince = 0;
+            pending.headMap(snapshot.index(), true).values()
+                    .forEach(each -> port.answer(each.call, new Answer.Unknown("the others went on without this instance")));
+            pending.headMap(snapshot.index(), true).clear();
+            sums.headMap(snapshot.index(), true).clear();
+            changed = true;
+        }
+
+        @Override
+        public void readable(long ticket, long index) {
+            Call call = asked.remove(ticket);
+            askers.remove(ticket);
+            if (call != null) {
+                waiting.add(new Waiting(index, call));
+            }
+        }
+
+        @Override
+        public void unreadable(long ticket) {
+            asked.remove(ticket);
+            Long asker = askers.remove(ticket);
+            if (asker != null) {
+                port.answer(asker, notLeader());
+            }
+        }
+
+        @Override
+        public void leads(long term) {
+            // Whatever was left of each session by the leader before: it is counted from the start again.
+            ends.clear();
+            record.sessions().forEach((id, seconds) -> ends.put(id, now + seconds));
+            port.role(true, term, raft.self());
+        }
+
+        @Override
+        public void follows(long term, MemberId leader) {
+            ends.clear();
+            port.role(false, term, leader);
+        }
+
+        @Override
+        public void aside(MemberId from, byte[] words) {
+            heardSum(from, words);
+        }
+    }
+
+    private Answer.Refused notLeader() {
+        Member leader = raft.leader() == null ? null : raft.members().get(raft.leader());
+        return new Answer.Refused(Answer.Reason.NOT_LEADER, leader == null ? "" : leader.name());
+    }
+
+    private void apply(Entry entry) {
+        bytesSince += entry.cost();
+        Result result = null;
+        if (entry.kind() == Entry.Kind.COMMAND) {
+            Command command;
+            try {
+                command = RecordCodec.command(entry.data());
+            } catch (RecordCodec.Unreadable e) {
+                halt("entry " + entry.index() + " can't be carried out by this program: " + e.getMessage());
+                return;
+            }
+            result = record.apply(entry.index(), command);
+            changed = true;
+            heardOfSession(command, result);
+        } else {
+            record.pass(entry.index());
+        }
+        if (entry.index() % habits.sums() == 0) {
+            keepSum(entry.index(), raft.self(), Snapshot.sum(record.bytes()));
+            sumsToTell.add(entry.index());
+        }
+        Pending call = pending.remove(entry.index());
+        if (call != null) {
+            port.answer(call.call, call.term != entry.term()
+                    ? new Answer.Refused(Answer.Reason.NOT_LEADER, "another leader came before it was agreed")
+                    : answer(result));
+        }
+    }
+
+    private static Answer answer(Result result) {
+        if (result == null || result.done()) {
+            return new Answer.Done(result == null ? 0 : result.number());
+        }
+        return new Answer.Refused(Answer.Reason.valueOf(result.why().name()), result.text());
+    }
+
+    private void heardOfSession(Command command, Result result) {
+        if (!leads()) {
+            return;
+        }
+        if (command instanceof Command.Open && result.done()) {
+            renew(new SessionId(result.number()));
+        } else if (command instanceof Command.End end) {
+            ends.remove(end.session());
+        } else if (command instanceof Command.Change change) {
+            renew(change.session());
+        }
+    }
+
+    private void renew(SessionId session) {
+        double seconds = record.seconds(session);
+        // One that is being ended stays so: the command is on its way.
+        if (seconds > 0 && !Double.valueOf(Double.POSITIVE_INFINITY).equals(ends.get(session))) {
+            ends.put(session, now + seconds);
+        }
+    }
+
+    private void halt(String why) {
+        if (!stopped) {
+            stopped = true;
+            port.stop(why);
+        }
+    }
+
+    // What is fed in. The time is in seconds and never runs backwards.
+
+    /** Time has passed, so many ticks of it. */
+    public void tick(double time, int ticks) {
+        now = time;
+        for (int i = 0; i < ticks && !stopped; i++) {
+            raft.tick();
+        }
+        settle();
+    }
+
+    public void receive(double time, MemberId from, Message message) {
+        now = time;
+        if (!stopped) {
+            raft.receive(from, message);
+        }
+        settle();
+    }
+
+    public void durable(double time, long number) {
+        now = time;
+        if (!stopped) {
+            raft.durable(number);
+        }
+        settle();
+    }
+
+    /** A command to be agreed. */
+    public void change(double time, long call, Command command) {
+        now = time;
+        if (!stopped) {
+            propose(call, command);
+        }
+        settle();
+    }
+
+    private void propose(long call, Command command) {
+        Raft.Taken taken = raft.propose(RecordCodec.bytes(command));
+        took(call, taken);
+    }
+
+    private void took(long call, Raft.Taken taken) {
+        if (taken.refusal() == null) {
+            pending.put(taken.index(), new Pending(call, taken.term()));
+        } else {
+            port.answer(call, refused(taken.refusal()));
+        }
+    }
+
+    private Answer refused(Raft.Refusal refusal) {
+        return switch (refusal) {
+            case NOT_LEADER, HANDING_OVER -> notLeader();
+            case TOO_MUCH -> new Answer.Refused(Answer.Reason.BUSY, "too much waits to be agreed");
+            case TOO_LARGE -> new Answer.Refused(Answer.Reason.TOO_LARGE, "too large");
+            case NOT_YET -> new Answer.Refused(Answer.Reason.BUSY, "another change of the members is not agreed yet");
+            case ALREADY -> new Answer.Refused(Answer.Reason.MEMBERS, "it is so already");
+            case NO_SUCH_MEMBER -> new Answer.Refused(Answer.Reason.MEMBERS, "no such member, or not one that votes");
+            case TOO_FEW -> new Answer.Refused(Answer.Reason.MEMBERS, "too few of those left are here and up to date");
+            case LAST_VOTER -> new Answer.Refused(Answer.Reason.MEMBERS, "the last one that votes can't go");
+        };
+    }
+
+    /** Reads keys, all that begin so or the one; answered by a state that is no older than this call. */
+    public void read(double time, long call, String key, boolean prefix) {
+        now = time;
+        if (!stopped) {
+            ask(call, state -> {
+                Item item = prefix ? null : state.get(key);
+                port.answer(call, new Answer.Found(state.revision(), prefix ? state.beginning(key)
+                        : item == null ? List.of() : List.of(item)));
+            });
+        }
+        settle();
+    }
+
+    /** Says that a session's client is alive; done where the session lasts its whole time from now on. */
+    public void renew(double time, long call, SessionId session) {
+        now = time;
+        if (!stopped) {
+            // A round of all, as for a read: a leader of the past must not promise what the next one does not keep.
+            ask(call, state -> {
+                if (state.seconds(session) < 0 || Double.valueOf(Double.POSITIVE_INFINITY).equals(ends.get(session))) {
+                    port.answer(call, new Answer.Refused(Answer.Reason.NO_SESSION, "there is no session " + session.number()));
+                } else {
+                    renew(session);
+                    port.answer(call, new Answer.Done(session.number()));
+                }
+            });
+        }
+        settle();
+    }
+
+    private void ask(long call, Call then) {
+        long ticket = ++tickets;
+        asked.put(ticket, then);
+        askers.put(ticket, call);
+        raft.read(ticket);
+    }
+
+    /** Answers once something that begins so has changed, from this revision on; at any instance, maybe late. */
+    public void watch(double time, long call, String prefix, long from) {
+        now = time;
+        if (watches.size() >= MOST_WATCHES) {
+            port.answer(call, new Answer.Refused(Answer.Reason.BUSY, "there are " + MOST_WATCHES + " watches"));
+        } else if (!stopped) {
+            watches.add(new Watch(call, prefix, from));
+            changed = true;
+        }
+        settle();
+    }
+
+    /** Nobody waits for this call any more. */
+    public void forget(long call) {
+        watches.removeIf(watch -> watch.call == call);
+        pending.values().removeIf(each -> each.call == call);
+    }
+
+    public void add(double time, long call, Member member) {
+        now = time;
+        if (!stopped) {
+            took(call, raft.add(member));
+        }
+        settle();
+    }
+
+    public void remove(double time, long call, MemberId id) {
+        now = time;
+        if (!stopped) {
+            took(call, raft.remove(id));
+        }
+        settle();
+    }
+
+    /** Begins to hand over; done says only that it has begun. */
+    public void transfer(double time, long call, MemberId to) {
+        now = time;
+        if (!stopped) {
+            Raft.Refusal refusal = raft.transfer(to);
+            port.answer(call, refusal == null ? new Answer.Done(0) : refused(refusal));
+        }
+        settle();
+    }
+
+    /** Makes this instance, of an empty folder, the first of a group. */
+    public void found(double time, Member first) {
+        now = time;
+        raft.found(first);
+        settle();
+    }
+
+    // What follows from it.
+
+    private void settle() {
+        if (stopped) {
+            return;
+        }
+        answerReads();
+        if (changed) {
+            changed = false;
+            answerWatches();
+        }
+        endSessions();
+        tellSums();
+        if (record.applied() - snapshotAt >= habits.entries() || bytesSince >= habits.bytes()) {
+            snapshotAt = record.applied();
+            bytesSince = 0;
+            raft.compact(Snapshot.of(snapshotAt, raft.termOf(snapshotAt), raft.members(snapshotAt), record.bytes()));
+        }
+    }
+
+    private void answerReads() {
+        if (!waiting.isEmpty()) {
+            List<Waiting> ready = waiting.stream().filter(each -> each.index <= record.applied()).toList();
+            waiting.removeAll(ready);
+            ready.forEach(each -> each.call.at(record));
+        }
+    }
+
+    private void answerWatches() {
+        for (Iterator<Watch> each = watches.iterator(); each.hasNext();) {
+            Watch watch = each.next();
+            List<Event> events = record.since(watch.from, watch.prefix);
+            if (events == null) {
+                each.remove();
+                port.answer(watch.call, new Answer.Refused(Answer.Reason.GAP,
+                        "changes before revision " + record.revision() + " are not known here any more"));
+            } else if (!events.isEmpty()) {
+                each.remove();
+                port.answer(watch.call, new Answer.Seen(events, record.revision() + 1));
+            }
+        }
+    }
+
+    private void endSessions() {
+        if (!leads()) {
+            return;
+        }
+        for (Map.Entry<SessionId, Double> end : List.copyOf(ends.entrySet())) {
+            if (now > end.getValue()) {
+                if (raft.propose(RecordCodec.bytes(new Command.End(end.getKey()))).refusal() == null) {
+                    ends.put(end.getKey(), Double.POSITIVE_INFINITY);
+                }
+            }
+        }
+    }
+
+    // States are compared: the same entries must have made the same of them everywhere.
+
+    private void tellSums() {
+        for (long index : sumsToTell) {
+            Map<MemberId, Integer> own = sums.get(index);
+            if (own != null) {
+                byte[] words = ByteBuffer.allocate(1 + Long.BYTES + Integer.BYTES).put(SUM).putLong(index)
+                        .putInt(own.get(raft.self())).array();
+                raft.members().voters().stream().filter(voter -> !voter.equals(raft.self()))
+                        .forEach(voter -> raft.tell(voter, words));
+            }
+        }
+        sumsToTell.clear();
+    }
+
+    private void heardSum(MemberId from, byte[] words) {
+        if (words.length == 1 + Long.BYTES + Integer.BYTES && words[0] == SUM && raft.members().votes(from)) {
+            ByteBuffer in = ByteBuffer.wrap(words, 1, Long.BYTES + Integer.BYTES);
+            keepSum(in.getLong(), from, in.getInt());
+        }
+    }
+
+    private void keepSum(long index, MemberId of, int sum) {
+        Map<MemberId, Integer> all = sums.computeIfAbsent(index, none -> new HashMap<>());
+        all.put(of, sum);
+        while (sums.size() > MOST_SUMS) {
+            sums.pollFirstEntry();
+        }
+        Integer own = all.get(raft.self());
+        if (own != null) {
+            all.values().stream().filter(other -> !other.equals(own)).filter(other -> all.entrySet().stream()
+                    .filter(each -> raft.members().votes(each.getKey()) && each.getValue().equals(other)).count()
+                    >= raft.members().majority()).findFirst().ifPresent(other -> halt("the state after entry " + index
+                    + " differs from that of most others: " + Integer.toHexString(own) + ", theirs "
+                    + Integer.toHexString(other)));
+        }
+    }
+}
--- a/storage/src/main/java/embershift/storage/MemoryDisk.java
+++ b/storage/src/main/java/embershift/storage/MemoryDisk.java
@@ -19,12 +19,18 @@
 
     private final TreeMap<String, Content> files = new TreeMap<>();
     private boolean full;
+    private boolean dying;
 
     /** Whether it takes nothing more from now on, but for the first half of what is written next. */
     public void full(boolean now) {
         full = now;
     }
 
+    /** Whether the machine ends before anything more is forced: what is written until then may be lost. */
+    public void dying(boolean now) {
+        dying = now;
+    }
+
     /** The machine ends: of what was not forced only a beginning is left, as long as chance has it. */
     public void crash(Random chance) {
         for (Content content : files.values()) {
@@ -80,7 +86,10 @@
             }
 
             @Override
-            public void force() {
+            public void force() throws IOException {
+                if (dying) {
+                    throw new IOException("the machine has ended");
+                }
                 content.forced = content.bytes.size();
             }
 
@@ -97,6 +106,9 @@
 
     @Override
     public void replace(String name, byte[] bytes) throws IOException {
+        if (dying) {
+            throw new IOException("the machine has ended");
+        }
         if (full) {
             throw new NoRoom("full", null);
         }
--- a/storage/src/main/java/embershift/storage/RecordLog.java
+++ b/storage/src/main/java/embershift/storage/RecordLog.java
@@ -26,7 +26,7 @@
     }
 
     /**
-     * What was found. {@code cut}: bytes cut off at the end, which no writer was ever told to be on disk, or 0.
+     * What was found. {@code cut}: bytes at the end that are cut off before the next write, which no writer was ever told to be on disk, or 0.
      * {@code doubtful}: the cut ones may have been on disk, and were changed since.
      */
     public record Found(List<Kept> records, long cut, boolean doubtful) {
@@ -114,7 +114,8 @@
                     }
                     cut += content.length - at;
                     doubtful = !isBeginning(content, at);
-                    disk.cut(name, at);
+                    // Cut before the next write: whoever opens this may first want to note that it was in doubt.
+                    torn = true;
                     break;
                 }
                 records.add(kept);
