Instances of the hosted program agree as processes; the rig kills and cuts them

Need: one thin path through everything: three processes elect one that leads, a client puts a key, the leader is killed, another leads and has the key, the killed one comes back and has it too.

A removal that would leave too few is refused; a name is freed only by a removal at the leader (an empty instance once answered that there was none).

--- a/fleet/src/main/java/embershift/fleet/Replica.java
+++ b/fleet/src/main/java/embershift/fleet/Replica.java
@@ -316,6 +316,7 @@
             case TOO_LARGE -> new Answer.Refused(Answer.Reason.TOO_LARGE, "too large");
             case NOT_YET -> new Answer.Refused(Answer.Reason.BUSY, "another change of the members is not agreed yet");
             case ALREADY -> new Answer.Refused(Answer.Reason.MEMBERS, "it is so already");
+            case NAME_TAKEN -> new Answer.Refused(Answer.Reason.MEMBERS, "another of that name belongs to the group: remove it");
             case NO_SUCH_MEMBER -> new Answer.Refused(Answer.Reason.MEMBERS, "no such member, or not one that votes");
             case TOO_FEW -> new Answer.Refused(Answer.Reason.MEMBERS, "too few of those left are here and up to date");
             case LAST_VOTER -> new Answer.Refused(Answer.Reason.MEMBERS, "the last one that votes can't go");
--- /dev/null
+++ b/hosted/src/main/java/embershift/hosted/Instance.java
@@ -0,0 +1,646 @@
+package embershift.hosted;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import embershift.fleet.Answer;
+import embershift.fleet.Replica;
+import embershift.raft.Codec;
+import embershift.raft.Keeper;
+import embershift.raft.Member;
+import embershift.raft.MemberId;
+import embershift.raft.Message;
+import embershift.raft.Restored;
+import embershift.storage.Disk;
+import embershift.storage.DrillDisk;
+import embershift.storage.Folder;
+import embershift.storage.NoRoom;
+import embershift.transport.Link;
+import embershift.transport.Loop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import static net.logstash.logback.argument.StructuredArguments.kv;
+
+/**
+ * One instance: sockets, timers and the disk round a {@link Replica}. All on one loop; what waits for the disk is done
+ * aside, and what was ordered meanwhile goes there together.
+ */
+final class Instance implements Replica.Port {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Instance.class);
+    private static final int STOPPED = 3;
+    /** Seconds until writes that found no room are tried again. */
+    private static final double ROOM_AGAIN = 0.2;
+    /** Seconds for which a leader that ends waits until another leads. */
+    private static final double HAND_OVER = 1.5;
+    private static final double LOOK = 0.02;
+
+    private final Installation installation;
+    private final Loop loop;
+    private final Disk disk;
+    private final Keeper keeper;
+    private final Replica replica;
+    private final double tick;
+    private final int mostTicks;
+    private Identity identity;
+    private double ticked;
+    private final List<Keeper.Order> orders = new ArrayList<>();
+    private boolean writing;
+    private boolean noRoom;
+    private final Map<MemberId, Way> ways = new HashMap<>();
+    /** The connection that each other instance speaks on: its newest. */
+    private final Map<MemberId, Entrance> entrances = new HashMap<>();
+    private final Map<Long, Calls.Waiter> calls = new HashMap<>();
+    private long lastCall;
+    private final Set<Entrance> callers = new LinkedHashSet<>();
+    private final TreeMap<String, Long> counts = new TreeMap<>();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private boolean ending;
+    private Runnable atNextRole = () -> { };
+
+    private Instance(Installation installation, Loop loop, Folder folder) throws IOException {
+        this.installation = installation;
+        this.loop = loop;
+        disk = installation.drills() ? new DrillDisk(folder) : folder;
+        identity = Identity.of(disk);
+        keeper = Keeper.open(disk, installation.bounds().logFile());
+        Restored restored = keeper.restored();
+        tick = installation.pace().tick();
+        embershift.raft.Pace pace = installation.pace().inTicks();
+        mostTicks = 3 * pace.election();
+        ticked = loop.now();
+        if (keeper.cut() > 0) {
+            LOG.warn("the end of the log was cut", kv("bytes", keeper.cut()), kv("doubt", restored.doubtful()));
+        }
+        replica = new Replica(identity.id(), pace, installation.bounds().ofRaft(), new Replica.Habits(
+                installation.bounds().snapshotEntries(), installation.bounds().snapshotLogBytes(),
+                Replica.Habits.USUAL.sums()), restored, Identity.number(), Identity.number(), this);
+        LOG.info("instance", kv("name", installation.name()), kv("id", identity.id().toString()),
+                kv("group", Long.toHexString(identity.group())), kv("term", replica.raft().term()),
+                kv("entries", replica.raft().last()), kv("members", replica.raft().members().toString()));
+    }
+
+    /** Starts; the program then lives on the loop. */
+    static void start(Installation installation) throws IOException {
+        Folder folder = Folder.open(Path.of(installation.folder()));
+        Loop loop = new Loop();
+        try {
+            Instance instance = new Instance(installation, loop, folder);
+            InetSocketAddress address = loop.listen(Installation.socket(installation.listen()), instance::room,
+                    link -> loop.execute(() -> instance.new Entrance(link))).address();
+            loop.execute(instance::passTime);
+            Runtime.getRuntime().addShutdownHook(new Thread(instance::end, "end"));
+            LOG.info("listening", kv("address", address.getHostString() + ":" + address.getPort()));
+        } catch (IOException e) {
+            loop.stop();
+            folder.close();
+            throw e;
+        }
+    }
+
+    private void count(String what) {
+        counts.merge(what, 1L, Long::sum);
+    }
+
+    // Time.
+
+    private void passTime() {
+        catchUp();
+        loop.after(tick, this::passTime);
+    }
+
+    /** Before anything that came is looked at: one that stood still must not take old news for new. */
+    private void catchUp() {
+        double now = loop.now();
+        int ticks = (int) ((now - ticked) / tick);
+        if (ticks > 0) {
+            ticked += ticks * tick;
+            replica.tick(now, Math.min(ticks, mostTicks));
+        }
+    }
+
+    // The disk.
+
+    @Override
+    public void persist(Keeper.Order order) {
+        orders.add(order);
+        write();
+    }
+
+    private void write() {
+        if (writing || orders.isEmpty()) {
+            return;
+        }
+        writing = true;
+        // After this turn, so that all that it orders goes together.
+        loop.execute(() -> {
+            List<Keeper.Order> batch = List.copyOf(orders);
+            orders.clear();
+            loop.aside(() -> keep(batch));
+        });
+    }
+
+    private void keep(List<Keeper.Order> batch) {
+        try {
+            keeper.keep(batch);
+            loop.execute(() -> {
+                if (noRoom) {
+                    noRoom = false;
+                    LOG.info("the disk takes writes again");
+                }
+                writing = false;
+                replica.durable(loop.now(), batch.get(batch.size() - 1).number());
+                write();
+            });
+        } catch (NoRoom e) {
+            loop.execute(() -> {
+                if (!noRoom) {
+                    noRoom = true;
+                    LOG.error("no room: nothing is answered until there is", kv("why", e.getMessage()));
+                }
+                count("writes without room");
+                loop.after(ROOM_AGAIN, () -> loop.aside(() -> keep(batch)));
+            });
+        } catch (IOException | RuntimeException e) {
+            stop("the disk failed, and what is on it can't be told: " + e);
+        }
+    }
+
+    @Override
+    public void sure() {
+        LOG.info("has all again that it was in doubt of");
+        loop.aside(() -> {
+            try {
+                keeper.sure();
+            } catch (IOException e) {
+                // It will be in doubt again after the next start, which is on the safe side.
+                LOG.warn("the mark of doubt stays", kv("why", e.getMessage()));
+            }
+        });
+    }
+
+    @Override
+    public void stop(String why) {
+        LOG.error("stops", kv("why", why));
+        System.err.println("stops: " + why);
+        Runtime.getRuntime().halt(STOPPED);
+    }
+
+    // The others.
+
+    @Override
+    public void send(MemberId to, Message message) {
+        Member member = replica.raft().members().get(to);
+        if (member == null) {
+            Entrance entrance = entrances.get(to);
+            // One that asked for a vote, and isn't known here yet or any more, is answered where it says it lives.
+            member = entrance == null ? null : new Member(to, entrance.name, "", Member.Role.LEARNER);
+        }
+        if (member != null) {
+            String address = installation.ways().getOrDefault(member.name(), member.address());
+            if (!address.isEmpty()) {
+                ways.computeIfAbsent(to, none -> new Way(to)).send(address, message);
+            }
+        }
+    }
+
+    /** The way to another instance: one connection, dialled again when it is lost, on which only this one speaks. */
+    private final class Way implements Link.Events {
+        private static final double FIRST_GAP = 0.03;
+        private static final double LONGEST_GAP = 0.5;
+        private static final double STUCK = 3;
+        private static final int MOST_WAITING = 4 << 20;
+
+        private final MemberId to;
+        private Link link;
+        private Frames frames;
+        private boolean welcome;
+        private double gap = FIRST_GAP;
+        private double notBefore;
+        private double backedUpSince;
+        private int waiting;
+
+        Way(MemberId to) {
+            this.to = to;
+        }
+
+        void send(String address, Message message) {
+            double now = loop.now();
+            if (link == null) {
+                if (now >= notBefore) {
+                    dial(address, now);
+                }
+                return;
+            }
+            if (!welcome) {
+                return;
+            }
+            if (link.backedUp()) {
+                if (now - backedUpSince > STUCK) {
+                    count("ways given up as stuck");
+                    drop(now);
+                    return;
+                }
+            } else {
+                waiting = 0;
+                backedUpSince = now;
+            }
+            ByteBuffer piece = Frames.piece(Frames.MESSAGE, Codec.bytes(message));
+            waiting += piece.remaining();
+            if (waiting > MOST_WAITING) {
+                count("messages dropped for want of room");
+                return;
+            }
+            count("messages sent");
+            if (!link.write(piece)) {
+                drop(now);
+            }
+        }
+
+        private void dial(String address, double now) {
+            frames = new Frames();
+            welcome = false;
+            waiting = 0;
+            backedUpSince = now;
+            notBefore = now + gap;
+            link = loop.connect(Installation.socket(address), this);
+            Link dialled = link;
+            loop.after(STUCK, () -> {
+                if (link == dialled && !welcome) {
+                    drop(loop.now());
+                }
+            });
+        }
+
+        private void drop(double now) {
+            if (link != null) {
+                link.close();
+                link = null;
+            }
+            gap = Math.min(LONGEST_GAP, 2 * gap);
+            notBefore = now + gap;
+        }
+
+        @Override
+        public void connected() {
+            link.write(Frames.piece(Frames.HELLO, Greeting.of(identity.group(), identity.id(), installation.name(), to).bytes()));
+        }
+
+        @Override
+        public void notConnected() {
+            link = null;
+            drop(loop.now());
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            try {
+                frames.take(bytes, piece -> {
+                    if (piece[0] == Frames.WELCOME) {
+                        welcome = true;
+                        gap = FIRST_GAP;
+                    } else {
+                        String why = new String(piece, 1, piece.length - 1, java.nio.charset.StandardCharsets.UTF_8);
+                        LOG.warn("not welcome", kv("at", to.toString()), kv("why", why));
+                        count("refused by others");
+                        gap = LONGEST_GAP;
+                        drop(loop.now());
+                    }
+                });
+            } catch (Frames.Unreadable e) {
+                drop(loop.now());
+            }
+        }
+
+        @Override
+        public void ended() {
+            drop(loop.now());
+        }
+
+        @Override
+        public void broken() {
+            drop(loop.now());
+        }
+    }
+
+    private boolean room() {
+        while (callers.size() >= installation.bounds().callers()) {
+            Entrance oldest = callers.iterator().next();
+            count("callers that gave way");
+            oldest.close();
+        }
+        return true;
+    }
+
+    /** A connection that came in: of another instance, or of a caller. */
+    final class Entrance implements Link.Events {
+        private final Link link;
+        private final Frames frames = new Frames();
+        private MemberId from;
+        private String name = "";
+        private final Set<Long> waiting = new LinkedHashSet<>();
+
+        Entrance(Link link) {
+            this.link = link;
+            callers.add(this);
+            link.events(this);
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            catchUp();
+            try {
+                frames.take(bytes, this::piece);
+            } catch (Frames.Unreadable e) {
+                count("connections with unreadable bytes");
+                close();
+            }
+        }
+
+        private void piece(byte[] piece) {
+            if (link.closed()) {
+                return;
+            }
+            try {
+                switch (piece[0]) {
+                    case Frames.HELLO -> greeted(Greeting.read(piece));
+                    case Frames.MESSAGE -> message(piece);
+                    case Frames.CALL -> Calls.take(Instance.this, this, piece);
+                    default -> throw new Frames.Unreadable("a piece of kind " + piece[0]);
+                }
+            } catch (Frames.Unreadable | Codec.Unreadable e) {
+                count("connections with unreadable bytes");
+                close();
+            }
+        }
+
+        private void greeted(Greeting greeting) {
+            String no = refusal(greeting);
+            if (no != null) {
+                count("instances refused");
+                LOG.warn("refused", kv("name", greeting.name()), kv("id", greeting.from().toString()), kv("why", no));
+                link.write(Frames.piece(Frames.NO, no.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+                callers.remove(this);
+                link.finish();
+                return;
+            }
+            if (greeting.to().number() != 0) {
+                if (identity.group() == 0 && !belong(greeting.group())) {
+                    close();
+                    return;
+                }
+                from = greeting.from();
+                name = greeting.name();
+                callers.remove(this);
+                Entrance older = entrances.put(from, this);
+                if (older != null) {
+                    // What it still holds is of a run before, or was given up by its sender.
+                    older.close();
+                }
+            }
+            link.write(Frames.piece(Frames.WELCOME, Greeting.of(identity.group(), identity.id(), installation.name(),
+                    greeting.from()).bytes()));
+        }
+
+        private String refusal(Greeting greeting) {
+            if (Greeting.common(greeting.oldest(), greeting.newest()) == 0) {
+                return "versions " + greeting.oldest() + " to " + greeting.newest() + " are not known here, but "
+                        + Greeting.OLDEST + " to " + Greeting.NEWEST;
+            }
+            if (greeting.to().number() == 0) {
+                return null;
+            }
+            if (!greeting.to().equals(identity.id())) {
+                return "here is " + identity.id() + ", not " + greeting.to();
+            }
+            if (identity.group() != 0 && greeting.group() != identity.group()) {
+                return "of group " + Long.toHexString(greeting.group()) + ", here is " + Long.toHexString(identity.group());
+            }
+            return greeting.group() == 0 ? "of no group" : null;
+        }
+
+        private void message(byte[] piece) throws Frames.Unreadable {
+            if (from == null || entrances.get(from) != this) {
+                throw new Frames.Unreadable("a message without a greeting");
+            }
+            count("messages taken");
+            replica.receive(loop.now(), from, Codec.message(java.util.Arrays.copyOfRange(piece, 1, piece.length)));
+        }
+
+        void answer(ObjectNode answer) {
+            if (!link.closed()) {
+                link.write(Frames.piece(Frames.ANSWER, Calls.bytes(answer)));
+            }
+        }
+
+        long waits(Calls.Waiter waiter) {
+            long call = ++lastCall;
+            calls.put(call, waiter);
+            waiting.add(call);
+            return call;
+        }
+
+        void answered(long call) {
+            waiting.remove(call);
+        }
+
+        void close() {
+            callers.remove(this);
+            if (from != null) {
+                entrances.remove(from, this);
+            }
+            waiting.forEach(call -> {
+                calls.remove(call);
+                replica.forget(call);
+            });
+            waiting.clear();
+            link.close();
+        }
+
+        @Override
+        public void ended() {
+            close();
+        }
+
+        @Override
+        public void broken() {
+            close();
+        }
+    }
+
+    /** From now on of this group; whether that is on disk. Only once, before anything is promised. */
+    private boolean belong(long group) {
+        Identity next = new Identity(identity.id(), group);
+        try {
+            next.write(disk);
+            identity = next;
+            LOG.info("belongs", kv("group", Long.toHexString(group)));
+            return true;
+        } catch (IOException e) {
+            LOG.error("can't note its group", kv("why", e.getMessage()));
+            return false;
+        }
+    }
+
+    // Calls.
+
+    Replica replica() {
+        return replica;
+    }
+
+    double now() {
+        return loop.now();
+    }
+
+    Identity identity() {
+        return identity;
+    }
+
+    Map<String, Long> counts() {
+        return counts;
+    }
+
+    String name() {
+        return installation.name();
+    }
+
+    int logFiles() {
+        return keeper.files();
+    }
+
+    /** Begins a group with this instance as its only one. */
+    String found() {
+        if (identity.group() != 0 || replica.raft().last() > 0) {
+            return "this instance belongs to group " + Long.toHexString(identity.group()) + " already";
+        }
+        if (!belong(Identity.number())) {
+            return "the disk takes nothing";
+        }
+        replica.found(loop.now(), new Member(identity.id(), installation.name(), installation.address(), Member.Role.VOTER));
+        return null;
+    }
+
+    /** Asks who is at an address, then takes that one in. */
+    void add(long call, String address, Member.Role role) {
+        Frames frames = new Frames();
+        Link[] link = new Link[1];
+        Loop.Timer[] timer = new Loop.Timer[1];
+        java.util.function.Consumer<String> no = why -> {
+            timer[0].cancel();
+            link[0].close();
+            answer(call, new Answer.Refused(Answer.Reason.MEMBERS, why));
+        };
+        timer[0] = loop.after(2, () -> no.accept("nobody answers at " + address));
+        link[0] = loop.connect(Installation.socket(address), new Link.Events() {
+            @Override
+            public void connected() {
+                link[0].write(Frames.piece(Frames.HELLO, Greeting.of(identity.group(), identity.id(), installation.name(),
+                        new MemberId(0)).bytes()));
+            }
+
+            @Override
+            public void notConnected() {
+                no.accept("nobody is at " + address);
+            }
+
+            @Override
+            public void received(ByteBuffer bytes) {
+                try {
+                    frames.take(bytes, piece -> {
+                        try {
+                            met(Greeting.read(piece));
+                        } catch (Frames.Unreadable e) {
+                            no.accept(e.getMessage());
+                        }
+                    });
+                } catch (Frames.Unreadable e) {
+                    no.accept(e.getMessage());
+                }
+            }
+
+            private void met(Greeting other) {
+                if (other.group() != 0 && other.group() != identity.group()) {
+                    no.accept(other.name() + " belongs to group " + Long.toHexString(other.group()));
+                    return;
+                }
+                timer[0].cancel();
+                link[0].close();
+                replica.add(loop.now(), call, new Member(other.from(), other.name(), address, role));
+            }
+
+            @Override
+            public void ended() {
+                no.accept("who is at " + address + " ended the connection");
+            }
+
+            @Override
+            public void broken() {
+                no.accept("who is at " + address + " broke the connection");
+            }
+        });
+    }
+
+    @Override
+    public void answer(long call, Answer answer) {
+        Calls.Waiter waiter = calls.remove(call);
+        if (waiter != null) {
+            waiter.hears(call, answer);
+        }
+    }
+
+    @Override
+    public void role(boolean leads, long term, MemberId leader) {
+        Member member = leader == null || replica == null ? null : replica.raft().members().get(leader);
+        LOG.info(leads ? "leads" : "follows", kv("term", term), kv("leader", member == null ? "" : member.name()));
+        count(leads ? "terms led" : "changes of leader");
+        loop.execute(() -> {
+            Runnable then = atNextRole;
+            atNextRole = () -> { };
+            then.run();
+        });
+    }
+
+    // The end.
+
+    /** At SIGTERM: hands over first, so that nobody waits for an election. */
+    private void end() {
+        loop.execute(() -> {
+            ending = true;
+            LOG.info("ends", kv("counts", counts.toString()));
+            MemberId heir = replica.leads() ? replica.raft().bestHeir() : null;
+            if (heir == null) {
+                ended.countDown();
+                return;
+            }
+            replica.transfer(loop.now(), ++lastCall, heir);
+            awaitFollower(loop.now() + HAND_OVER);
+        });
+        try {
+            ended.await((long) (1000 * (HAND_OVER + 1)), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void awaitFollower(double until) {
+        if (!replica.leads() || loop.now() > until) {
+            LOG.info("ended", kv("led", replica.leads()));
+            ended.countDown();
+        } else {
+            loop.after(LOOK, () -> awaitFollower(until));
+        }
+    }
+}
--- /dev/null
+++ b/hosted/src/main/java/embershift/hosted/Main.java
@@ -0,0 +1,74 @@
+package embershift.hosted;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+
+import java.io.IOException;
+import java.nio.file.Path;
+
+/** The command line of the hosted program. */
+public final class Main {
+
+    static final int USAGE = 2;
+    private static final int CANNOT_START = 4;
+
+    private Main() {
+    }
+
+    private static class Installed {
+        @Parameter(names = "--installation", description = "The file that tells of this instance", required = true)
+        String installation;
+
+        Installation read() throws Installation.Unusable {
+            return Installation.read(Path.of(installation));
+        }
+    }
+
+    @Parameters(commandDescription = "Run one of the instances that agree")
+    private static final class Instances extends Installed {
+    }
+
+    @Parameters(commandDescription = "Say whether an instance could run by this file")
+    private static final class Check extends Installed {
+    }
+
+    public static void main(String[] args) {
+        int status = run(args);
+        if (status >= 0) {
+            System.exit(status);
+        }
+    }
+
+    /** The exit status; negative: the program goes on by itself. */
+    private static int run(String[] args) {
+        Instances instances = new Instances();
+        Check check = new Check();
+        FleetCommands fleet = new FleetCommands();
+        JCommander line = JCommander.newBuilder().programName("embershift-hosted").addCommand("instance", instances)
+                .addCommand("check", check).addCommand("fleet", new Object()).build();
+        if (args.length > 0 && args[0].equals("fleet")) {
+            return fleet.run(java.util.Arrays.copyOfRange(args, 1, args.length));
+        }
+        try {
+            line.parse(args);
+            if ("instance".equals(line.getParsedCommand())) {
+                Instance.start(instances.read());
+                return -1;
+            }
+            if ("check".equals(line.getParsedCommand())) {
+                Installation read = check.read();
+                System.out.println("sound: " + read.name() + " listens at " + read.listen());
+                return 0;
+            }
+            throw new ParameterException("instance, check or fleet is wanted");
+        } catch (ParameterException | Installation.Unusable e) {
+            System.err.println(e.getMessage().lines().findFirst().orElse(""));
+            return USAGE;
+        } catch (IOException e) {
+            System.err.println("can't start: " + e.getMessage());
+            return CANNOT_START;
+        }
+    }
+}
--- a/raft/src/main/java/embershift/raft/Raft.java
+++ b/raft/src/main/java/embershift/raft/Raft.java
@@ -25,7 +25,7 @@
     public enum Role { FOLLOWER, LOOKING_AHEAD, CANDIDATE, LEADER }
 
     /** Why something was not taken. */
-    public enum Refusal { NOT_LEADER, HANDING_OVER, TOO_MUCH, TOO_LARGE, NOT_YET, ALREADY, NO_SUCH_MEMBER, LAST_VOTER, TOO_FEW }
+    public enum Refusal { NOT_LEADER, HANDING_OVER, TOO_MUCH, TOO_LARGE, NOT_YET, ALREADY, NAME_TAKEN, NO_SUCH_MEMBER, LAST_VOTER, TOO_FEW }
 
     /** What became of a proposal: the place it was given, or a refusal with {@code index} 0. */
     public record Taken(long index, long term, Refusal refusal) {
@@ -697,9 +697,12 @@
     /** Takes one member in, as one that joins or as a learner. */
     public Taken add(Member member) {
         Refusal refusal = refusal();
-        if (refusal == null && (members().get(member.id()) != null || members().named(member.name()) != null)) {
+        if (refusal == null && members().get(member.id()) != null) {
             refusal = Refusal.ALREADY;
         }
+        if (refusal == null && members().named(member.name()) != null) {
+            refusal = Refusal.NAME_TAKEN;
+        }
         if (refusal == null && members().size() >= Members.MOST) {
             refusal = Refusal.TOO_MUCH;
         }
--- /dev/null
+++ b/rig/src/main/java/embershift/rig/Main.java
@@ -0,0 +1,141 @@
+package embershift.rig;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import embershift.rig.process.Instances;
+import embershift.rig.process.Play;
+import embershift.rig.process.Schedule;
+import embershift.rig.world.Worlds;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The rig's command line: schedules with real processes, and simulated worlds. */
+public final class Main {
+
+    private static final int BROKEN = 1;
+    private static final int USAGE = 2;
+    private static final long SHRINKING_NS = 600_000_000_000L;
+
+    private Main() {
+    }
+
+    private interface Command {
+        int run() throws IOException, Schedule.Unreadable;
+    }
+
+    @Parameters(commandDescription = "FILE: plays a schedule; exit 1 where something was broken")
+    private static final class PlayIt implements Command {
+        @Parameter(description = "FILE", required = true)
+        List<String> files = new ArrayList<>();
+
+        @Parameter(names = "--seed", description = "Seed of all chance")
+        long seed = 1;
+
+        @Override
+        public int run() throws IOException, Schedule.Unreadable {
+            Schedule schedule = Schedule.read(Path.of(files.get(0)));
+            Path folder = Files.createTempDirectory("rig");
+            return told(Play.play(schedule, seed, folder), folder);
+        }
+    }
+
+    private static int told(Play.Report report, Path folder) throws IOException {
+        System.out.printf("%s seed %d: %s, all in step after %.2f s%n", report.schedule(), report.seed(),
+                report.broken() == null ? "nothing broken" : "BROKEN", report.healed());
+        System.out.println(report.reached());
+        if (report.broken() == null) {
+            Instances.delete(folder);
+            return 0;
+        }
+        System.out.println(report.broken());
+        System.out.println("what is left of the run: " + folder);
+        return BROKEN;
+    }
+
+    @Parameters(commandDescription = "Plays random schedules; one that breaks something is shrunk and written as a file")
+    private static final class Hunt implements Command {
+        @Parameter(names = "--minutes", description = "How long")
+        double minutes = 10;
+
+        @Parameter(names = "--seed", description = "Of the first schedule")
+        long seed = System.nanoTime() & 0xffffff;
+
+        @Parameter(names = "--lasts", description = "Seconds of each schedule")
+        double lasts = 12;
+
+        @Override
+        public int run() throws IOException {
+            long until = System.nanoTime() + (long) (minutes * 60e9);
+            for (long each = seed; System.nanoTime() < until; each++) {
+                Schedule schedule = Schedule.drawn(each, lasts, each % 2 == 0 ? 3 : 5, 4);
+                Path folder = Files.createTempDirectory("rig");
+                int status = told(Play.play(schedule, each, folder), folder);
+                if (status != 0) {
+                    Schedule small = shrunk(schedule, each);
+                    Path file = folder.resolve("shrunk.toml");
+                    Files.writeString(file, small.text());
+                    System.out.println("shrunk to " + small.fault().size() + " faults: " + file);
+                    return status;
+                }
+            }
+            return 0;
+        }
+
+        /** Real processes: the same schedule may break once and not again, so what can't be left out stays. */
+        private static Schedule shrunk(Schedule schedule, long seed) throws IOException {
+            Schedule small = schedule;
+            long until = System.nanoTime() + SHRINKING_NS;
+            for (int i = 0; i < small.fault().size() && System.nanoTime() < until;) {
+                List<Schedule.Fault> fewer = new ArrayList<>(small.fault());
+                fewer.remove(i);
+                Path folder = Files.createTempDirectory("rig");
+                if (Play.play(small.with(fewer), seed, folder).broken() != null) {
+                    small = small.with(fewer);
+                } else {
+                    i++;
+                }
+                Instances.delete(folder);
+            }
+            return small;
+        }
+    }
+
+    @Parameters(commandDescription = "Simulated worlds of the agreement")
+    private static final class Simulate implements Command {
+        @Parameter(names = "--worlds", description = "How many")
+        long worlds = 1000;
+
+        @Parameter(names = "--seed", description = "Of the first")
+        long seed = 1;
+
+        @Override
+        public int run() {
+            return Worlds.tell(seed, worlds) ? 0 : BROKEN;
+        }
+    }
+
+    public static void main(String[] args) {
+        JCommander line = JCommander.newBuilder().programName("embershift-rig").addCommand("play", new PlayIt())
+                .addCommand("hunt", new Hunt()).addCommand("worlds", new Simulate()).build();
+        try {
+            line.parse(args);
+            if (line.getParsedCommand() == null) {
+                throw new ParameterException("play, hunt or worlds is wanted");
+            }
+            Command command = (Command) line.getCommands().get(line.getParsedCommand()).getObjects().get(0);
+            System.exit(command.run());
+        } catch (ParameterException | Schedule.Unreadable e) {
+            System.err.println(e.getMessage().lines().findFirst().orElse(""));
+            System.exit(USAGE);
+        } catch (IOException e) {
+            System.err.println(e);
+            System.exit(BROKEN);
+        }
+    }
+}
