--- a/emulator/src/main/java/embershift/emulator/sockets/NodeStand.java
+++ b/emulator/src/main/java/embershift/emulator/sockets/NodeStand.java
@@ -2,21 +2,26 @@
 
 import embershift.protocol.NodeConfiguration;
 import embershift.protocol.Unreadable;
+import embershift.rig.process.Program;
 import embershift.routing.Router;
 import embershift.transport.Loop;
 
-import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** A real node: its router on a loop of its own in this process, or the whole program in a process of its own. */
 interface NodeStand {
 
+    /** How the platform runs it, but for the archive of classes. */
+    List<String> OPTIONS = List.of("-XX:+UseSerialGC", "-Xms24m", "-Xmx96m", "-XX:TieredStopAtLevel=1", "-Xss256k",
+            "-XX:-UsePerfData");
+
     InetSocketAddress address();
 
     /** Asks it to stop, as SIGTERM does. */
@@ -87,13 +92,8 @@
             throws IOException {
         Path file = folder.resolve(name + ".json");
         Files.writeString(file, configuration, StandardCharsets.UTF_8);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-Xms24m", "-Xmx96m", "-XX:TieredStopAtLevel=1", "-Xss256k", "-XX:-UsePerfData", "-cp",
-                System.getProperty("java.class.path"), "embershift.program.Main", "serve", "--configuration",
-                file.toString());
-        builder.environment().remove("LB_CONFIG");
-        File log = folder.resolve(name + ".log").toFile();
-        Process process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start();
+        Program program = Program.java(System.getProperty("java.class.path"), OPTIONS, "embershift.program.Main",
+                List.of("serve", "--configuration", file.toString()), Map.of(), folder.resolve(name + ".log"));
         return new NodeStand() {
             @Override
             public InetSocketAddress address() {
@@ -102,42 +102,32 @@
 
             @Override
             public void leave() {
-                process.destroy();
+                program.terminate();
             }
 
             @Override
             public void kill() {
-                process.destroyForcibly();
+                program.kill();
             }
 
             @Override
             public void pause(double seconds) {
-                signal("-STOP");
+                program.stop();
                 Thread later = new Thread(() -> {
                     try {
                         TimeUnit.MILLISECONDS.sleep((long) (seconds * 1000));
                     } catch (InterruptedException e) {
                         Thread.currentThread().interrupt();
                     }
-                    signal("-CONT");
+                    program.goOn();
                 }, "continue");
                 later.setDaemon(true);
                 later.start();
             }
 
-            private void signal(String which) {
-                try {
-                    new ProcessBuilder(List.of("kill", which, String.valueOf(process.pid()))).start().waitFor();
-                } catch (IOException e) {
-                    throw new IllegalStateException(e);
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }
-
             @Override
             public boolean runs() {
-                return process.isAlive();
+                return program.runs();
             }
         };
     }
--- a/emulator/src/test/java/embershift/ArchitectureTest.java
+++ b/emulator/src/test/java/embershift/ArchitectureTest.java
@@ -27,16 +27,26 @@
                 .layer("operations").definedBy("embershift.operations")
                 .layer("adapter").definedBy("embershift.adapter")
                 .layer("program").definedBy("embershift.program")
+                .layer("storage").definedBy("embershift.storage")
+                .layer("raft").definedBy("embershift.raft")
+                .layer("fleet").definedBy("embershift.fleet")
+                .layer("hosted").definedBy("embershift.hosted")
+                .layer("rig").definedBy("embershift.rig..")
                 .layer("emulator").definedBy("embershift.emulator..")
                 .whereLayer("policy").mayOnlyBeAccessedByLayers("routing", "adapter", "emulator")
                 .whereLayer("transport").mayOnlyBeAccessedByLayers("routing", "operations", "program",
-                        "emulator")
+                        "hosted", "emulator")
                 .whereLayer("protocol").mayOnlyBeAccessedByLayers("routing", "operations", "adapter",
                         "program", "emulator")
                 .whereLayer("routing").mayOnlyBeAccessedByLayers("operations", "program", "emulator")
                 .whereLayer("operations").mayOnlyBeAccessedByLayers("program")
                 .whereLayer("adapter").mayOnlyBeAccessedByLayers("program")
                 .whereLayer("program").mayOnlyBeAccessedByLayers("emulator")
+                .whereLayer("storage").mayOnlyBeAccessedByLayers("raft", "hosted", "rig")
+                .whereLayer("raft").mayOnlyBeAccessedByLayers("fleet", "hosted", "rig")
+                .whereLayer("fleet").mayOnlyBeAccessedByLayers("hosted", "rig")
+                .whereLayer("hosted").mayOnlyBeAccessedByLayers("rig")
+                .whereLayer("rig").mayOnlyBeAccessedByLayers("emulator")
                 .whereLayer("emulator").mayNotBeAccessedByAnyLayer()
                 .check(PROGRAM);
     }
@@ -50,9 +60,23 @@
                 .check(PROGRAM);
     }
 
+    @Test
+    public void theAgreementAndTheRecordDoNoInputOrOutputOfTheirOwn() {
+        // Keeper is the one that a disk is handed to.
+        classes().that().resideInAnyPackage("embershift.raft", "embershift.fleet")
+                .and().doNotHaveSimpleName("Keeper")
+                .should().onlyDependOnClassesThat().resideInAnyPackage("embershift.raft", "embershift.fleet", "java.lang",
+                        "java.lang.invoke", "java.lang.runtime", "java.util", "java.util.function", "java.util.stream",
+                        "java.util.zip", "java.nio", "java.nio.charset", "java.io")
+                .check(PROGRAM);
+        noClasses().that().resideInAnyPackage("embershift.raft", "embershift.fleet").and().doNotHaveSimpleName("Keeper")
+                .should().dependOnClassesThat().haveNameMatching("java\\.io\\.(File|RandomAccess|Console).*")
+                .check(PROGRAM);
+    }
+
     @Test
     public void theModuleHasNoClockAndNoThreads() {
-        noClasses().that().resideInAnyPackage("embershift.model", "embershift.policy")
+        noClasses().that().resideInAnyPackage("embershift.model", "embershift.policy", "embershift.raft", "embershift.fleet")
                 .should().callMethod(System.class, "currentTimeMillis")
                 .orShould().callMethod(System.class, "nanoTime")
                 .orShould().dependOnClassesThat().areAssignableTo(Thread.class)
--- a/node/src/test/java/embershift/program/ReplaceTest.java
+++ b/node/src/test/java/embershift/program/ReplaceTest.java
@@ -143,6 +143,10 @@
         Process next = start(port, management[1]);
         awaitReady(management[1]);
         try (Socket standing = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            standing.setSoTimeout(PATIENCE_MS);
+            // Until it is known to have been taken in: one that waits at the system would be reset as the listener closes.
+            standing.getOutputStream().write("PING\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertEquals(ServeTest.reader(standing.getInputStream()).readLine(), "PONG");
             old.toHandle().destroy();
             Path log = folder.resolve("log-" + management[0]);
             while (!Files.readString(log).contains("leaving")) {
--- a/rig/src/main/java/embershift/rig/Main.java
+++ b/rig/src/main/java/embershift/rig/Main.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import embershift.rig.process.Instances;
+import embershift.rig.process.Measure;
 import embershift.rig.process.Play;
 import embershift.rig.process.Schedule;
 import embershift.rig.world.Worlds;
@@ -120,13 +121,29 @@
         }
     }
 
+    @Parameters(commandDescription = "The figures of docs/agreement.md, on this machine")
+    private static final class Figures implements Command {
+        @Parameter(names = "--times", description = "How often each fault is tried")
+        int times = 20;
+
+        @Parameter(names = "--revisions", description = "How many an instance that was away has to catch up on")
+        int revisions = 100_000;
+
+        @Override
+        public int run() throws IOException {
+            Measure.all(times, revisions);
+            return 0;
+        }
+    }
+
     public static void main(String[] args) {
         JCommander line = JCommander.newBuilder().programName("embershift-rig").addCommand("play", new PlayIt())
-                .addCommand("hunt", new Hunt()).addCommand("worlds", new Simulate()).build();
+                .addCommand("hunt", new Hunt()).addCommand("worlds", new Simulate())
+                .addCommand("measure", new Figures()).build();
         try {
             line.parse(args);
             if (line.getParsedCommand() == null) {
-                throw new ParameterException("play, hunt or worlds is wanted");
+                throw new ParameterException("play, hunt, worlds or measure is wanted");
             }
             Command command = (Command) line.getCommands().get(line.getParsedCommand()).getObjects().get(0);
             System.exit(command.run());
--- a/rig/src/main/java/embershift/rig/process/Play.java
+++ b/rig/src/main/java/embershift/rig/process/Play.java
@@ -118,6 +118,11 @@
                 history.count("histories too tangled to judge");
             }
         }
+        for (Map.Entry<String, Long> each : schedule.reaches().entrySet()) {
+            if (broken == null && history.reached().getOrDefault(each.getKey(), 0L) < each.getValue()) {
+                broken = "not proved: " + each.getKey() + " under " + each.getValue() + " in " + history.reached();
+            }
+        }
         return new Report(schedule.name(), seed, broken, history.reached(), healed);
     }
 
@@ -207,7 +212,18 @@
         return () -> some.forEach(way -> ways.set(way, Ways.State.CLEAR));
     }
 
+    /** One at a time: where another has not got back yet what it forgot, two of three would have forgotten. */
+    private void awaitInStep() {
+        double until = history.now() + HEAL;
+        while (lacking(new long[0]) != null && history.now() < until) {
+            Instances.sleep(0.02);
+        }
+    }
+
     private Runnable onProcess(Schedule.Fault fault, String whom) {
+        if (fault.what() == Schedule.What.LOG_FLIPPED || fault.what() == Schedule.What.FOLDER_LOST) {
+            awaitInStep();
+        }
         Program program = instances.program(whom);
         if (!program.runs()) {
             return () -> { };
@@ -341,7 +357,7 @@
             return "nobody leads";
         }
         for (String name : instances.names()) {
-            ObjectNode status = instances.status(name);
+            ObjectNode status = instances.program(name).runs() ? instances.status(name) : null;
             if (status == null) {
                 return name + " does not answer";
             }
@@ -353,6 +369,12 @@
     }
 
     private String oneLeaderATerm() throws IOException {
+        for (String name : instances.names()) {
+            String log = Files.readString(folder.resolve(name + ".log"));
+            if (log.contains("\"message\":\"stops\"")) {
+                return name + " stopped by itself: " + log.substring(log.indexOf("\"message\":\"stops\""));
+            }
+        }
         Map<Long, String> leaders = new HashMap<>();
         for (String name : instances.names()) {
             Matcher matcher = LEADS.matcher(Files.readString(folder.resolve(name + ".log")));
--- a/rig/src/main/java/embershift/rig/process/Schedule.java
+++ b/rig/src/main/java/embershift/rig/process/Schedule.java
@@ -14,10 +14,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Random;
 
-/** A run of instances and their clients, and what goes wrong in it when. Times in seconds from its beginning. */
-public record Schedule(String name, double lasts, int instances, int clients, List<Fault> fault) {
+/**
+ * A run of instances and their clients, and what goes wrong in it when. Times in seconds from its beginning. {@code reaches}:
+ * what must have happened in it at least so often, or it proves nothing.
+ */
+public record Schedule(String name, double lasts, int instances, int clients, Map<String, Long> reaches, List<Fault> fault) {
 
     /** What goes wrong. */
     public enum What {
@@ -75,6 +79,7 @@
 
     public Schedule {
         fault = fault == null ? List.of() : List.copyOf(fault);
+        reaches = reaches == null ? Map.of() : Map.copyOf(reaches);
     }
 
     /** Seconds that a schedule lasts at the most. */
@@ -108,7 +113,7 @@
     private static String withNames(String text) {
         String names = text;
         for (What what : What.values()) {
-            names = names.replace("\"" + what.written() + "\"", "\"" + what.name() + "\"");
+            names = names.replaceAll("(what\\s*=\\s*)\"" + what.written() + "\"", "$1\"" + what.name() + "\"");
         }
         return names;
     }
@@ -142,7 +147,7 @@
 
     /** With these faults in place of its own. */
     public Schedule with(List<Fault> faults) {
-        return new Schedule(name, lasts, instances, clients, faults);
+        return new Schedule(name, lasts, instances, clients, Map.of(), faults);
     }
 
     /** A random one. */
@@ -164,6 +169,6 @@
             faults.add(new Fault(at, Math.min(span, lasts - at), what, some[chance.nextInt(some.length)],
                     peers[chance.nextInt(peers.length)], 0.3 * chance.nextDouble(), 0.3 * chance.nextDouble()));
         }
-        return new Schedule("drawn-" + seed, lasts, instances, clients, faults);
+        return new Schedule("drawn-" + seed, lasts, instances, clients, Map.of(), faults);
     }
 }
--- a/rig/src/test/java/embershift/rig/InstancesTest.java
+++ b/rig/src/test/java/embershift/rig/InstancesTest.java
@@ -88,4 +88,183 @@
             awaitApplied(first, 2);
         }
     }
+
+    @Test
+    public void callsThatWaitedInAStoppedLeaderDoNoHarmWhenItGoesOn() throws Exception {
+        start(3, 3);
+        try (RecordClient client = instances.client()) {
+            put(client, "a", "1");
+            String first = instances.awaitLeader(PATIENCE);
+            instances.stop(first);
+            RecordClient.Outcome[] late = new RecordClient.Outcome[2];
+            Thread[] callers = new Thread[2];
+            for (int i = 0; i < 2; i++) {
+                int number = i;
+                callers[i] = new Thread(() -> {
+                    // Both wait in the queues of the stopped process alone.
+                    try (RecordClient only = instances.client(first)) {
+                        late[number] = only.ask(number == 0 ? RecordClient.put("a", "old", -1).put("session", 0)
+                                : RecordClient.call("get").put("key", "a"), 4);
+                    }
+                });
+                callers[i].start();
+            }
+            String second = instances.awaitLeader(PATIENCE, first);
+            try (RecordClient there = instances.client(second)) {
+                put(there, "a", "2");
+                double until = history.now() + 0.5;
+                while (history.now() < until) {
+                    Instances.sleep(0.02);
+                }
+                instances.goOn(first);
+                callers[0].join();
+                callers[1].join();
+                assertTrue(!late[0].done(), "a leader of the past carried out a change: " + late[0]);
+                assertTrue(!late[1].done() || value(late[1]).equals("2"), "a leader of the past answered a read: " + late[1]);
+                assertEquals(value(there.ask(RecordClient.call("get").put("key", "a"), PATIENCE)), "2");
+            }
+        }
+    }
+
+    @Test
+    public void twoPartitionsInARowEachWithTheLeaderInTheMinority() throws Exception {
+        start(5, 5);
+        try (RecordClient client = instances.client()) {
+            String before = null;
+            for (int i = 0; i < 2; i++) {
+                put(client, "a", "before " + i);
+                String leader = instances.awaitLeader(PATIENCE);
+                String with = instances.names().stream().filter(name -> !name.equals(leader)).findFirst().orElseThrow();
+                for (String one : new String[] {leader, with}) {
+                    for (String other : instances.names()) {
+                        if (!other.equals(leader) && !other.equals(with)) {
+                            ways.cutBoth(one, other, true);
+                        }
+                    }
+                }
+                String next = instances.awaitLeader(PATIENCE, leader, with);
+                put(client, "a", "after " + i);
+                assertTrue(!next.equals(before) || i == 0);
+                ways.clearAll();
+                before = next;
+            }
+            assertEquals(value(client.ask(RecordClient.call("get").put("key", "a"), PATIENCE)), "after 1");
+            for (String name : instances.names()) {
+                awaitApplied(name, 4);
+            }
+        }
+    }
+
+    @Test
+    public void leaderThatHearsNobodyOrIsNotHeardStepsDown() throws Exception {
+        start(3, 3);
+        try (RecordClient client = instances.client()) {
+            for (boolean heard : new boolean[] {true, false}) {
+                String leader = instances.awaitLeader(PATIENCE);
+                for (String other : instances.names()) {
+                    if (!other.equals(leader)) {
+                        ways.cut(heard ? new Ways.Way(other, leader) : new Ways.Way(leader, other), true);
+                    }
+                }
+                instances.awaitLeader(PATIENCE, leader);
+                put(client, "a", "heard " + heard);
+                long until = System.nanoTime() + (long) (PATIENCE * 1e9);
+                while (instances.status(leader).path("role").asText().equals("leader")) {
+                    assertTrue(System.nanoTime() < until, leader + " leads on");
+                }
+                ways.clearAll();
+            }
+        }
+    }
+
+    @Test
+    public void followerWhoseLogIsGoneIsBroughtUpByASnapshot() throws Exception {
+        start(3, 3);
+        try (RecordClient client = instances.client()) {
+            String leader = instances.awaitLeader(PATIENCE);
+            String away = instances.names().stream().filter(name -> !name.equals(leader)).findFirst().orElseThrow();
+            instances.kill(away);
+            for (int i = 0; i < 600; i++) {
+                put(client, "k" + i % 40, "v" + i);
+            }
+            instances.start(away);
+            awaitApplied(away, 600);
+            assertTrue(java.util.Arrays.stream(instances.folder(away).toFile().list()).anyMatch(name ->
+                    name.startsWith("snapshot-")));
+        }
+    }
+
+    @Test
+    public void majorityThatStartsWithEmptyFoldersByMistakeMakesNoGroupOfItsOwn() throws Exception {
+        start(5, 5);
+        try (RecordClient client = instances.client()) {
+            put(client, "a", "1");
+            for (int i = 2; i < 5; i++) {
+                String name = instances.names().get(i);
+                instances.kill(name);
+                Instances.delete(instances.folder(name));
+                instances.start(name);
+            }
+            RecordClient.Outcome outcome = client.ask(RecordClient.put("a", "2", -1), 2.5);
+            assertTrue(!outcome.done(), "two of five agreed: " + outcome);
+            for (int i = 2; i < 5; i++) {
+                assertEquals(instances.status(instances.names().get(i)).path("last").asLong(), 0);
+            }
+            for (int i = 0; i < 2; i++) {
+                assertTrue(!instances.status(instances.names().get(i)).path("role").asText().equals("leader"));
+            }
+        }
+    }
+
+    @Test
+    public void instanceOfAnotherGroupIsNotTakenIn() throws Exception {
+        start(3, 2);
+        String other = instances.names().get(2);
+        try (RecordClient client = instances.client(other)) {
+            assertTrue(client.ask(RecordClient.call("found"), PATIENCE).done());
+        }
+        String leader = instances.awaitLeader(PATIENCE, other);
+        try (RecordClient client = instances.client(leader)) {
+            RecordClient.Outcome outcome = client.ask(RecordClient.call("add").put("address",
+                    "127.0.0.1:" + instances.way(leader, other).getPort()), 3);
+            assertTrue(outcome.text().contains("belongs to group"), outcome.toString());
+            put(client, "a", "1");
+        }
+        assertEquals(instances.status(leader).path("members").size(), 2);
+    }
+
+    @Test
+    public void instanceOfTheNextVersionWorksBesideTheOthersAndOneOfAnotherIsRefused() throws Exception {
+        Path greeting = Path.of("..", "hosted/src/main/java/embershift/hosted/Greeting.java");
+        try (Mutation next = new Mutation(greeting, "NEWEST = 1;", "NEWEST = 2;");
+                Mutation other = new Mutation(greeting, "OLDEST = 1;\n    static final int NEWEST = 1;",
+                        "OLDEST = 2;\n    static final int NEWEST = 3;")) {
+            instances = new Instances(folder, 3, ways, history, "");
+            instances.classPath("i2", next.mutatedClassPath());
+            instances.startAll();
+            instances.form(3);
+            try (RecordClient client = instances.client()) {
+                put(client, "a", "1");
+                instances.kill("i3");
+                instances.classPath("i3", other.mutatedClassPath());
+                instances.start("i3");
+                put(client, "a", "2");
+                assertTrue(instances.program("i3").await(text -> text.contains("versions 1 to") ? true : null, PATIENCE));
+                assertTrue(instances.status("i3").path("revision").asLong() < 2);
+            }
+        }
+    }
+
+    @Test
+    public void leaderThatIsAskedToEndHandsOverFirst() throws Exception {
+        start(3, 3);
+        String leader = instances.awaitLeader(PATIENCE);
+        instances.program(leader).terminate();
+        assertTrue(instances.program(leader).awaitFor(PATIENCE));
+        assertTrue(instances.program(leader).output().contains("\"message\":\"ended\""));
+        assertTrue(instances.program(leader).output().contains("\"led\":false"), instances.program(leader).output());
+        try (RecordClient client = instances.client()) {
+            put(client, "a", "1");
+        }
+    }
 }
