An old owner that goes on is refused: owners, receivers and instances as processes

Need: what the model and the simulated worlds promise of duties has to hold for processes that are stopped with orders on their way.

Change: the rig starts owners and receivers as processes beside the instances, with relays between them; receivers write down each order that reached them, and only that is judged. Tests: an owner stopped with its orders held five seconds on the way, followed by the other, continued, twice in a row; a receiver started anew while the record is away; owner and record's leader killed together.

--- /dev/null
+++ b/rig/src/main/java/embershift/rig/process/OwnerStand.java
@@ -0,0 +1,172 @@
+package embershift.rig.process;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import embershift.fleet.Answer;
+import embershift.fleet.Command;
+import embershift.fleet.Condition;
+import embershift.fleet.DutyId;
+import embershift.fleet.Fence;
+import embershift.fleet.Owner;
+import embershift.fleet.Plan;
+import embershift.fleet.SessionId;
+import embershift.fleet.Write;
+import embershift.hosted.RecordClient;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One who would own a duty, as a process: an {@link Owner} whose steps are orders to receivers, in turn. Arguments: name, duty,
+ * steps, instances and receivers, each as HOST:PORT,HOST:PORT.
+ */
+public final class OwnerStand implements Owner.Hands {
+
+    private static final Owner.Terms TERMS = new Owner.Terms(2, 0.1, 20, 1000, 2);
+    private static final double LONGEST = 0.5;
+    private static final double CALL = 1.5;
+    private static final int TICK_MS = 20;
+
+    private final ScheduledExecutorService deciding = Executors.newSingleThreadScheduledExecutor();
+    private final ExecutorService commands = Executors.newSingleThreadExecutor();
+    private final ExecutorService words = Executors.newSingleThreadExecutor();
+    private final ExecutorService orders = Executors.newCachedThreadPool();
+    private final RecordClient forCommands;
+    private final RecordClient forWords;
+    private final List<InetSocketAddress> receivers;
+    private final String name;
+    private final Owner owner;
+
+    private OwnerStand(String name, DutyId duty, int steps, List<InetSocketAddress> instances,
+                       List<InetSocketAddress> receivers) {
+        this.name = name;
+        this.receivers = receivers;
+        forCommands = new RecordClient(instances, name);
+        forWords = new RecordClient(instances, name);
+        owner = new Owner(name, duty, new Plan("plan", steps, LONGEST), TERMS, this);
+    }
+
+    public static void main(String[] args) {
+        OwnerStand stand = new OwnerStand(args[0], new DutyId(args[1]), Integer.parseInt(args[2]),
+                ReceiverStand.addresses(args[3]), ReceiverStand.addresses(args[4]));
+        stand.deciding.scheduleWithFixedDelay(() -> stand.decide(() -> stand.owner.tick(now())), 0, TICK_MS,
+                TimeUnit.MILLISECONDS);
+        System.out.println("owner " + args[0]);
+    }
+
+    private static double now() {
+        return System.nanoTime() / 1e9;
+    }
+
+    private void decide(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) {
+            e.printStackTrace();
+            Runtime.getRuntime().halt(1);
+        }
+    }
+
+    private void heard(Runnable what) {
+        deciding.execute(() -> decide(what));
+    }
+
+    @Override
+    public void ask(Command command) {
+        commands.execute(() -> {
+            RecordClient.Outcome outcome = forCommands.ask(json(command), CALL);
+            Answer answer = outcome.done() ? new Answer.Done(outcome.answer().path("number").asLong())
+                    : outcome.unknown() ? new Answer.Unknown(outcome.text())
+                    : new Answer.Refused(reason(outcome.reason()), outcome.text());
+            heard(() -> owner.answered(now(), command, answer));
+        });
+    }
+
+    private static Answer.Reason reason(String written) {
+        try {
+            return Answer.Reason.valueOf(written.toUpperCase(Locale.ROOT).replace('-', '_'));
+        } catch (IllegalArgumentException e) {
+            return Answer.Reason.BUSY;
+        }
+    }
+
+    private static ObjectNode json(Command command) {
+        if (command instanceof Command.Open open) {
+            return RecordClient.call("open").put("client", open.client()).put("seconds", open.seconds());
+        }
+        if (command instanceof Command.End end) {
+            return RecordClient.call("end").put("session", end.session().number());
+        }
+        Command.Change change = (Command.Change) command;
+        ObjectNode call = RecordClient.call("change").put("session", change.session().number()).put("number", change.number())
+                .put("open", change.open());
+        ArrayNode conditions = call.putArray("conditions");
+        for (Condition condition : change.conditions()) {
+            conditions.addObject().put("key", condition.key()).put("revision", condition.revision());
+        }
+        ArrayNode writes = call.putArray("writes");
+        for (Write write : change.writes()) {
+            writes.addObject().put("key", write.key()).put("value", write.value()).put("bound", write.bound());
+        }
+        return call;
+    }
+
+    @Override
+    public void renew(SessionId session, double asked) {
+        words.execute(() -> {
+            RecordClient.Outcome outcome = forWords.ask(RecordClient.call("renew").put("session", session.number()), CALL);
+            if (outcome.done()) {
+                heard(() -> owner.renewed(now(), asked));
+            } else if (outcome.reason().equals("no-session")) {
+                heard(() -> owner.sessionOver(now()));
+            }
+        });
+    }
+
+    @Override
+    public void look(DutyId duty) {
+        words.execute(() -> {
+            RecordClient.Outcome outcome = forWords.ask(RecordClient.call("get").put("key", duty.progressKey()), CALL);
+            if (outcome.done()) {
+                var item = outcome.answer().path("items").path(0);
+                heard(() -> owner.found(now(), item.isMissingNode() ? null : item.path("value").asText()));
+            }
+        });
+    }
+
+    @Override
+    public void act(DutyId duty, Plan plan, int step, Fence fence) {
+        orders.execute(() -> {
+            Owner.Effect effect = Owner.Effect.UNKNOWN;
+            try (Socket socket = new Socket()) {
+                socket.connect(receivers.get(step % receivers.size()), (int) (LONGEST * 1000));
+                socket.setSoTimeout((int) (LONGEST * 1000));
+                socket.getOutputStream().write(("ORDER " + name + " " + step + " " + fence.number() + "\n")
+                        .getBytes(StandardCharsets.US_ASCII));
+                String answer = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                        StandardCharsets.US_ASCII)).readLine();
+                effect = "TAKEN".equals(answer) ? Owner.Effect.DONE : "OLD".equals(answer) ? Owner.Effect.OLD
+                        : Owner.Effect.UNKNOWN;
+            } catch (IOException e) {
+                // Nobody can tell.
+            }
+            Owner.Effect end = effect;
+            heard(() -> owner.acted(now(), step, fence, end));
+        });
+    }
+
+    @Override
+    public void told(String what) {
+        System.out.println("told: " + what);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/embershift/rig/process/ReceiverStand.java
@@ -0,0 +1,107 @@
+package embershift.rig.process;
+
+import embershift.fleet.DutyId;
+import embershift.fleet.Fence;
+import embershift.fleet.Gate;
+import embershift.hosted.RecordClient;
+
+import java.io.BufferedReader;
+import java.io.FileWriter;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.Writer;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * A receiver of orders, as a process: goes by a gate, and writes each order that reached it, and what became of it, to a
+ * file. Arguments: name, duty, file, instances as HOST:PORT,HOST:PORT. An order is a line: ORDER owner step fence.
+ */
+public final class ReceiverStand {
+
+    /** Seconds that an effect takes. */
+    private static final double EFFECT = 0.05;
+
+    private final DutyId duty;
+    private final Writer history;
+    private final Gate gate = new Gate();
+
+    private ReceiverStand(DutyId duty, Writer history) {
+        this.duty = duty;
+        this.history = history;
+    }
+
+    public static void main(String[] args) throws IOException {
+        DutyId duty = new DutyId(args[1]);
+        ReceiverStand receiver = new ReceiverStand(duty, new FileWriter(args[2], StandardCharsets.UTF_8, true));
+        receiver.note("started", "", 0, 0);
+        try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Thread asking = new Thread(() -> receiver.askRecord(addresses(args[3])), "record");
+            asking.setDaemon(true);
+            asking.start();
+            System.out.println("receiver at " + server.getLocalPort());
+            while (true) {
+                Socket socket = server.accept();
+                Thread thread = new Thread(() -> receiver.serve(socket), "orders");
+                thread.setDaemon(true);
+                thread.start();
+            }
+        }
+    }
+
+    static List<InetSocketAddress> addresses(String text) {
+        return java.util.Arrays.stream(text.split(",")).map(each -> new InetSocketAddress(each.split(":")[0],
+                Integer.parseInt(each.split(":")[1]))).toList();
+    }
+
+    /** Until the record has answered a read that began after this start. */
+    private void askRecord(List<InetSocketAddress> instances) {
+        try (RecordClient client = new RecordClient(instances, "receiver")) {
+            while (true) {
+                RecordClient.Outcome outcome = client.ask(RecordClient.call("get").put("key", duty.fenceKey()), 5);
+                if (outcome.done()) {
+                    synchronized (this) {
+                        gate.told(duty, new Fence(outcome.answer().path("items").path(0).path("revision").asLong()));
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    private synchronized void note(String what, String owner, int step, long fence) {
+        try {
+            // The machine's monotonic time, the same for all processes.
+            history.write(String.format(Locale.ROOT, "%d %s %s %d %d%n", System.nanoTime(), what, owner, step, fence));
+            history.flush();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private synchronized String take(String owner, int step, long fence) {
+        Gate.Verdict verdict = gate.take(duty, new Fence(fence));
+        note(verdict.name(), owner, step, fence);
+        return verdict.name();
+    }
+
+    private void serve(Socket socket) {
+        try (socket; BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                StandardCharsets.US_ASCII))) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                String[] words = line.split(" ");
+                String answer = words.length == 4 && words[0].equals("ORDER")
+                        ? take(words[1], Integer.parseInt(words[2]), Long.parseLong(words[3])) : "UNREADABLE";
+                Instances.sleep(EFFECT);
+                socket.getOutputStream().write((answer + "\n").getBytes(StandardCharsets.US_ASCII));
+            }
+        } catch (IOException e) {
+            // Its sender is gone.
+        }
+    }
+}
