An instance that joins answers its leader where it says that it lives

Cause: an instance that joins knows no members yet, so its answers had no address unless the operator's file told the ways, which the rig always did: taken in by hand, an instance never caught up. Seen by reading what the relays hide, then by a test with three instances started as an operator does.

Change: the greeting tells where its speaker is reached. Addresses are checked alike in files, calls and command lines. What the program did not foresee ends the instance with a line, as what it promised can't be told any more; before, the loop went on. Tests of what may be handed in.

--- a/hosted/src/main/java/embershift/hosted/Calls.java
+++ b/hosted/src/main/java/embershift/hosted/Calls.java
@@ -113,7 +113,7 @@
     }
 
     private static void add(Instance instance, Instance.Entrance entrance, Waiter waiter, ObjectNode call) {
-        if (!call.path("address").asText().matches("[^:\\s]+:\\d{1,5}")) {
+        if (!Installation.isAddress(call.path("address").asText())) {
             waiter.hears(0, new Answer.Refused(Answer.Reason.UNREADABLE, "an address is HOST:PORT"));
         } else {
             instance.add(entrance.waits(waiter), call.path("address").asText(),
--- a/hosted/src/main/java/embershift/hosted/FleetCommands.java
+++ b/hosted/src/main/java/embershift/hosted/FleetCommands.java
@@ -35,7 +35,7 @@
         List<InetSocketAddress> addresses() {
             List<InetSocketAddress> all = new ArrayList<>();
             for (String each : at.split(",")) {
-                if (!each.matches("[^:\\s]+:\\d{1,5}") || Integer.parseInt(each.replaceAll(".*:", "")) > 65_535) {
+                if (!Installation.isAddress(each)) {
                     throw new ParameterException("--at takes HOST:PORT, not " + each);
                 }
                 all.add(Installation.socket(each));
--- a/hosted/src/main/java/embershift/hosted/Greeting.java
+++ b/hosted/src/main/java/embershift/hosted/Greeting.java
@@ -11,17 +11,18 @@
 
 /**
  * How two instances begin: who speaks, of which group, to whom, and which versions of the words between them it knows.
- * {@code to} 0: only to learn who is there; {@code group} 0: of none yet.
+ * {@code to} 0: only to learn who is there; {@code group} 0: of none yet; {@code address}: where the speaker is reached, for one
+ * who does not know the members yet.
  */
-record Greeting(int oldest, int newest, long group, MemberId from, String name, MemberId to) {
+record Greeting(int oldest, int newest, long group, MemberId from, String name, MemberId to, String address) {
 
     /** The versions that this program knows. */
     static final int OLDEST = 1;
     static final int NEWEST = 1;
     private static final int MAGIC = 0x454d4231;
 
-    static Greeting of(long group, MemberId from, String name, MemberId to) {
-        return new Greeting(OLDEST, NEWEST, group, from, name, to);
+    static Greeting of(long group, MemberId from, String name, MemberId to, String address) {
+        return new Greeting(OLDEST, NEWEST, group, from, name, to, address);
     }
 
     /** The newest version that both know, or 0. */
@@ -41,6 +42,7 @@
             out.writeLong(from.number());
             out.writeUTF(name);
             out.writeLong(to.number());
+            out.writeUTF(address);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -55,7 +57,7 @@
                 throw new Frames.Unreadable("no greeting of an instance");
             }
             return new Greeting(in.readByte(), in.readByte(), in.readLong(), new MemberId(in.readLong()), in.readUTF(),
-                    new MemberId(in.readLong()));
+                    new MemberId(in.readLong()), in.readUTF());
         } catch (IOException e) {
             throw new Frames.Unreadable("a greeting that ends early");
         }
--- a/hosted/src/main/java/embershift/hosted/Installation.java
+++ b/hosted/src/main/java/embershift/hosted/Installation.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import com.networknt.schema.JsonSchemaFactory;
 import com.networknt.schema.SpecVersion;
@@ -16,6 +17,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -25,6 +28,11 @@
 public record Installation(String name, String folder, String listen, String address, boolean drills, Pace pace,
                            Bounds bounds, Map<String, String> ways) {
 
+    /** Whether this is HOST:PORT. */
+    static boolean isAddress(String text) {
+        return text.matches("[^:\\s]+:\\d{1,5}") && Integer.parseInt(text.substring(text.lastIndexOf(':') + 1)) <= 65_535;
+    }
+
     /** See {@link embershift.raft.Pace}. */
     public record Pace(@JsonProperty("tick-s") Double tick, @JsonProperty("heartbeat-s") Double heartbeat,
                        @JsonProperty("election-s") Double election, @JsonProperty("stall-s") Double stall) {
@@ -104,7 +112,7 @@
                     .validate(tree).stream().min((one, other) -> one.getMessage().compareTo(other.getMessage()))
                     .orElse(null);
             if (wrong != null) {
-                throw new Unusable(file + ": " + wrong.getMessage().replaceFirst("^\\$\\.?", ""));
+                throw new Unusable(file + ": " + wrong.getMessage().replaceFirst("^\\$[.:]? ?", ""));
             }
             Installation read = JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
                     .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build()
@@ -120,7 +128,7 @@
     }
 
     private static JsonNode withDrills(JsonNode tree) {
-        return tree.has("drills") ? tree : ((com.fasterxml.jackson.databind.node.ObjectNode) tree).put("drills", false);
+        return tree.has("drills") ? tree : ((ObjectNode) tree).put("drills", false);
     }
 
     private void check(String file) throws Unusable {
@@ -132,8 +140,10 @@
         if (bounds.waiting < bounds.command) {
             throw new Unusable(file + ": bounds.waiting-bytes: not under bounds.command-bytes");
         }
-        for (String each : new String[] {listen, address}) {
-            if (Integer.parseInt(each.substring(each.lastIndexOf(':') + 1)) > 65_535) {
+        List<String> addresses = new ArrayList<>(ways.values());
+        addresses.addAll(List.of(listen, address));
+        for (String each : addresses) {
+            if (!isAddress(each)) {
                 throw new Unusable(file + ": " + each + ": a port is 65535 at the most");
             }
         }
--- a/hosted/src/main/java/embershift/hosted/Instance.java
+++ b/hosted/src/main/java/embershift/hosted/Instance.java
@@ -21,8 +21,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -31,6 +33,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import static net.logstash.logback.argument.StructuredArguments.kv;
 
@@ -68,8 +71,6 @@
     private final Set<Entrance> callers = new LinkedHashSet<>();
     private final TreeMap<String, Long> counts = new TreeMap<>();
     private final CountDownLatch ended = new CountDownLatch(1);
-    private boolean ending;
-    private Runnable atNextRole = () -> { };
 
     private Instance(Installation installation, Loop loop, Folder folder) throws IOException {
         this.installation = installation;
@@ -117,8 +118,18 @@
 
     // Time.
 
+    /** What the program did not foresee must not be gone on from: what it has promised can't be told any more. */
+    private void guarded(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) {
+            LOG.error("fault", e);
+            stop("a fault of the program: " + e);
+        }
+    }
+
     private void passTime() {
-        catchUp();
+        guarded(this::catchUp);
         loop.after(tick, this::passTime);
     }
 
@@ -162,7 +173,7 @@
                     LOG.info("the disk takes writes again");
                 }
                 writing = false;
-                replica.durable(loop.now(), batch.get(batch.size() - 1).number());
+                guarded(() -> replica.durable(loop.now(), batch.get(batch.size() - 1).number()));
                 write();
             });
         } catch (NoRoom e) {
@@ -206,12 +217,12 @@
         Member member = replica.raft().members().get(to);
         if (member == null) {
             Entrance entrance = entrances.get(to);
-            // One that asked for a vote, and isn't known here yet or any more, is answered where it says it lives.
-            member = entrance == null ? null : new Member(to, entrance.name, "", Member.Role.LEARNER);
+            // Whoever is not known here, as to one that joins nobody is, is answered where it says that it lives.
+            member = entrance == null ? null : new Member(to, entrance.name, entrance.address, Member.Role.LEARNER);
         }
         if (member != null) {
             String address = installation.ways().getOrDefault(member.name(), member.address());
-            if (!address.isEmpty()) {
+            if (Installation.isAddress(address)) {
                 ways.computeIfAbsent(to, none -> new Way(to)).send(address, message);
             }
         }
@@ -296,7 +307,7 @@
 
         @Override
         public void connected() {
-            link.write(Frames.piece(Frames.HELLO, Greeting.of(identity.group(), identity.id(), installation.name(), to).bytes()));
+            link.write(Frames.piece(Frames.HELLO, Greeting.of(identity.group(), identity.id(), installation.name(), to, installation.address()).bytes()));
         }
 
         @Override
@@ -313,7 +324,7 @@
                         welcome = true;
                         gap = FIRST_GAP;
                     } else {
-                        String why = new String(piece, 1, piece.length - 1, java.nio.charset.StandardCharsets.UTF_8);
+                        String why = new String(piece, 1, piece.length - 1, StandardCharsets.UTF_8);
                         LOG.warn("not welcome", kv("at", to.toString()), kv("why", why));
                         count("refused by others");
                         gap = LONGEST_GAP;
@@ -351,6 +362,7 @@
         private final Frames frames = new Frames();
         private MemberId from;
         private String name = "";
+        private String address = "";
         private final Set<Long> waiting = new LinkedHashSet<>();
 
         Entrance(Link link) {
@@ -361,9 +373,9 @@
 
         @Override
         public void received(ByteBuffer bytes) {
-            catchUp();
+            guarded(Instance.this::catchUp);
             try {
-                frames.take(bytes, this::piece);
+                frames.take(bytes, piece -> guarded(() -> piece(piece)));
             } catch (Frames.Unreadable e) {
                 count("connections with unreadable bytes");
                 close();
@@ -392,7 +404,7 @@
             if (no != null) {
                 count("instances refused");
                 LOG.warn("refused", kv("name", greeting.name()), kv("id", greeting.from().toString()), kv("why", no));
-                link.write(Frames.piece(Frames.NO, no.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+                link.write(Frames.piece(Frames.NO, no.getBytes(StandardCharsets.UTF_8)));
                 callers.remove(this);
                 link.finish();
                 return;
@@ -404,6 +416,7 @@
                 }
                 from = greeting.from();
                 name = greeting.name();
+                address = greeting.address();
                 callers.remove(this);
                 Entrance older = entrances.put(from, this);
                 if (older != null) {
@@ -412,7 +425,7 @@
                 }
             }
             link.write(Frames.piece(Frames.WELCOME, Greeting.of(identity.group(), identity.id(), installation.name(),
-                    greeting.from()).bytes()));
+                    greeting.from(), installation.address()).bytes()));
         }
 
         private String refusal(Greeting greeting) {
@@ -437,7 +450,7 @@
                 throw new Frames.Unreadable("a message without a greeting");
             }
             count("messages taken");
-            replica.receive(loop.now(), from, Codec.message(java.util.Arrays.copyOfRange(piece, 1, piece.length)));
+            replica.receive(loop.now(), from, Codec.message(Arrays.copyOfRange(piece, 1, piece.length)));
         }
 
         void answer(ObjectNode answer) {
@@ -538,7 +551,7 @@
         Frames frames = new Frames();
         Link[] link = new Link[1];
         Loop.Timer[] timer = new Loop.Timer[1];
-        java.util.function.Consumer<String> no = why -> {
+        Consumer<String> no = why -> {
             timer[0].cancel();
             link[0].close();
             answer(call, new Answer.Refused(Answer.Reason.MEMBERS, why));
@@ -548,7 +561,7 @@
             @Override
             public void connected() {
                 link[0].write(Frames.piece(Frames.HELLO, Greeting.of(identity.group(), identity.id(), installation.name(),
-                        new MemberId(0)).bytes()));
+                        new MemberId(0), installation.address()).bytes()));
             }
 
             @Override
@@ -606,11 +619,6 @@
         Member member = leader == null || replica == null ? null : replica.raft().members().get(leader);
         LOG.info(leads ? "leads" : "follows", kv("term", term), kv("leader", member == null ? "" : member.name()));
         count(leads ? "terms led" : "changes of leader");
-        loop.execute(() -> {
-            Runnable then = atNextRole;
-            atNextRole = () -> { };
-            then.run();
-        });
     }
 
     // The end.
@@ -618,7 +626,6 @@
     /** At SIGTERM: hands over first, so that nobody waits for an election. */
     private void end() {
         loop.execute(() -> {
-            ending = true;
             LOG.info("ends", kv("counts", counts.toString()));
             MemberId heir = replica.leads() ? replica.raft().bestHeir() : null;
             if (heir == null) {
--- a/hosted/src/main/java/embershift/hosted/Main.java
+++ b/hosted/src/main/java/embershift/hosted/Main.java
@@ -7,6 +7,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Arrays;
 
 /** The command line of the hosted program. */
 public final class Main {
@@ -49,7 +50,7 @@
         JCommander line = JCommander.newBuilder().programName("embershift-hosted").addCommand("instance", instances)
                 .addCommand("check", check).addCommand("fleet", new Object()).build();
         if (args.length > 0 && args[0].equals("fleet")) {
-            return fleet.run(java.util.Arrays.copyOfRange(args, 1, args.length));
+            return fleet.run(Arrays.copyOfRange(args, 1, args.length));
         }
         try {
             line.parse(args);
--- /dev/null
+++ b/hosted/src/test/java/embershift/hosted/InputTest.java
@@ -0,0 +1,83 @@
+package embershift.hosted;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import embershift.raft.MemberId;
+import org.testng.annotations.Test;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** What operators and other programs may hand in, right and wrong. */
+public class InputTest {
+
+    private static final String LEAST = "name = \"i1\"\nfolder = \"f\"\nlisten = \"127.0.0.1:1\"\n";
+
+    @Test
+    public void installationThatCannotBeUsedIsRefusedInOneLineThatNamesTheKey() throws Exception {
+        Installation least = Installation.read(LEAST, "x");
+        assertEquals(least.address(), "127.0.0.1:1");
+        String[][] wrong = {{"more = 1\n", "more"}, {"[pace]\ntick-s = 0\n", "tick-s"}, {"[pace]\nelection-s = 0.1\n", "pace"},
+            {"address = \"nowhere\"\n", "address"}, {"[ways]\ni2 = \"h:70000\"\n", "65535"}, {"name = \"i2\"\n", "Duplicate"},
+            {"[bounds]\nwaiting-bytes = 8192\n", "waiting-bytes"}, {"listen", ""}};
+        for (String[] each : wrong) {
+            String message = expectThrows(Installation.Unusable.class, () -> Installation.read(LEAST + each[0], "x")).getMessage();
+            assertTrue(message.startsWith("x:") && message.contains(each[1]) && !message.contains("\n"), message);
+        }
+        assertThrows(Installation.Unusable.class, () -> Installation.read("name = \"i1\"\n", "x"));
+    }
+
+    @Test
+    public void piecesArriveInAnySplitAndAChangedOneEndsTheConnection() throws Exception {
+        byte[] all = new byte[0];
+        for (int i = 0; i < 3; i++) {
+            ByteBuffer piece = Frames.piece(Frames.CALL, new byte[i * 300]);
+            byte[] longer = Arrays.copyOf(all, all.length + piece.remaining());
+            piece.get(longer, all.length, piece.remaining());
+            all = longer;
+        }
+        for (int split = 1; split < 40; split++) {
+            List<Integer> lengths = new ArrayList<>();
+            Frames frames = new Frames();
+            for (int at = 0; at < all.length; at += split) {
+                frames.take(ByteBuffer.wrap(all, at, Math.min(split, all.length - at)), piece -> lengths.add(piece.length));
+            }
+            assertEquals(lengths, List.of(1, 301, 601));
+        }
+        for (int at = 0; at < all.length; at += 7) {
+            byte[] changed = all.clone();
+            changed[at] ^= 0x40;
+            List<Integer> lengths = new ArrayList<>();
+            boolean refused = false;
+            try {
+                new Frames().take(ByteBuffer.wrap(changed), piece -> lengths.add(piece.length));
+            } catch (Frames.Unreadable e) {
+                refused = true;
+            }
+            // A greater length waits for more; nothing that was changed is ever handed on.
+            assertTrue(refused || lengths.size() < 3, "at " + at);
+        }
+    }
+
+    @Test
+    public void greetingIsReadAsWrittenAndVersionsMeetWhereTheyOverlap() throws Exception {
+        Greeting greeting = Greeting.of(7, new MemberId(1), "i1", new MemberId(2), "h:1");
+        byte[] content = greeting.bytes();
+        byte[] piece = new byte[content.length + 1];
+        System.arraycopy(content, 0, piece, 1, content.length);
+        assertEquals(Greeting.read(piece), greeting);
+        for (int length = 1; length < piece.length; length++) {
+            byte[] cut = Arrays.copyOf(piece, length);
+            assertThrows(Frames.Unreadable.class, () -> Greeting.read(cut));
+        }
+        assertEquals(Greeting.common(1, 3), 1);
+        assertEquals(Greeting.common(2, 3), 0);
+        assertFalse(Installation.isAddress("h:99999") || Installation.isAddress("h") || !Installation.isAddress("h:80"));
+    }
+}
--- a/node/src/test/java/embershift/program/ReplaceTest.java
+++ b/node/src/test/java/embershift/program/ReplaceTest.java
@@ -54,7 +54,7 @@
     }
 
     /** A port that was free just now: two processes must be told the same one. */
-    private static int freePort() throws IOException {
+    static int freePort() throws IOException {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return server.getLocalPort();
         }
--- a/node/src/test/java/embershift/program/StoppedNeighbourTest.java
+++ b/node/src/test/java/embershift/program/StoppedNeighbourTest.java
@@ -38,9 +38,9 @@
     public void begin() throws Exception {
         folder = Files.createTempDirectory("embershift");
         host = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
-        int port = freePort();
+        int port = ReplaceTest.freePort();
         for (int i = 0; i < 2; i++) {
-            management[i] = freePort();
+            management[i] = ReplaceTest.freePort();
             Path file = folder.resolve("configuration-" + i);
             Files.writeString(file, ServeTest.configuration(host.getLocalPort(), 9)
                     .replace("127.0.0.1:0", "127.0.0.1:" + port));
@@ -65,12 +65,6 @@
         Files.delete(folder);
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return server.getLocalPort();
-        }
-    }
-
     private static Socket say(int management, String line) throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), management);
         socket.getOutputStream().write((line + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
--- a/rig/src/main/java/embershift/rig/Mutation.java
+++ b/rig/src/main/java/embershift/rig/Mutation.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 import javax.tools.JavaCompiler;
@@ -26,7 +27,7 @@
     /** @throws IllegalArgumentException where the text does not stand there exactly once, or does not compile */
     public Mutation(Path source, String from, String to) throws IOException {
         String text = Files.readString(source, StandardCharsets.UTF_8);
-        if (text.split(java.util.regex.Pattern.quote(from), -1).length != 2) {
+        if (text.split(Pattern.quote(from), -1).length != 2) {
             throw new IllegalArgumentException("not once in " + source + ": " + from);
         }
         folder = Files.createTempDirectory("mutation");
--- a/rig/src/main/java/embershift/rig/process/Instances.java
+++ b/rig/src/main/java/embershift/rig/process/Instances.java
@@ -1,5 +1,6 @@
 package embershift.rig.process;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import embershift.hosted.RecordClient;
 import embershift.rig.history.History;
@@ -180,7 +181,7 @@
             ObjectNode leader = leader();
             int voters = 0;
             if (leader != null) {
-                for (com.fasterxml.jackson.databind.JsonNode member : leader.path("members")) {
+                for (JsonNode member : leader.path("members")) {
                     voters += member.path("role").asText().equals("voter") ? 1 : 0;
                 }
                 if (voters == many && leader.path("agreed").asLong() == leader.path("last").asLong()) {
--- a/rig/src/main/java/embershift/rig/process/ReceiverStand.java
+++ b/rig/src/main/java/embershift/rig/process/ReceiverStand.java
@@ -15,6 +15,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 
@@ -55,7 +56,7 @@
     }
 
     static List<InetSocketAddress> addresses(String text) {
-        return java.util.Arrays.stream(text.split(",")).map(each -> new InetSocketAddress(each.split(":")[0],
+        return Arrays.stream(text.split(",")).map(each -> new InetSocketAddress(each.split(":")[0],
                 Integer.parseInt(each.split(":")[1]))).toList();
     }
 
--- a/rig/src/main/java/embershift/rig/world/DutyWorld.java
+++ b/rig/src/main/java/embershift/rig/world/DutyWorld.java
@@ -15,10 +15,12 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.stream.LongStream;
 
 /**
@@ -94,7 +96,7 @@
 
     private void broken(String what) {
         if (broken == null) {
-            broken = String.format(java.util.Locale.ROOT, "at %.3f s: %s", now, what);
+            broken = String.format(Locale.ROOT, "at %.3f s: %s", now, what);
         }
     }
 
@@ -109,7 +111,7 @@
 
     // The record.
 
-    private void command(Command command, java.util.function.Consumer<Answer> answer) {
+    private void command(Command command, Consumer<Answer> answer) {
         if (lost()) {
             return;
         }
@@ -325,7 +327,7 @@
             askRecord();
         }
 
-        void order(int step, Fence fence, java.util.function.Consumer<Owner.Effect> answer) {
+        void order(int step, Fence fence, Consumer<Owner.Effect> answer) {
             Gate.Verdict verdict = gate.take(DUTY, fence);
             count("orders " + verdict);
             if (verdict == Gate.Verdict.TAKEN) {
--- a/rig/src/main/java/embershift/rig/world/Scripts.java
+++ b/rig/src/main/java/embershift/rig/world/Scripts.java
@@ -1,10 +1,12 @@
 package embershift.rig.world;
 
 import embershift.raft.Bounds;
+import embershift.raft.Codec;
 import embershift.raft.Entry;
 import embershift.raft.Keeper;
 import embershift.raft.Member;
 import embershift.raft.MemberId;
+import embershift.raft.Members;
 import embershift.raft.Message;
 import embershift.raft.Outside;
 import embershift.raft.Pace;
@@ -58,7 +60,7 @@
             for (long id = 1; id <= 3; id++) {
                 all.add(new Member(new MemberId(id), "i" + id, "", Member.Role.VOTER));
             }
-            byte[] agreed = embershift.raft.Codec.bytes(embershift.raft.Members.of(all));
+            byte[] agreed = Codec.bytes(Members.of(all));
             for (Member member : all) {
                 start(member.id(), new Restored(new Vote(1, null), null,
                         List.of(new Entry(1, 1, Entry.Kind.MEMBERS, agreed)), false), 1);
--- a/rig/src/main/java/embershift/rig/world/World.java
+++ b/rig/src/main/java/embershift/rig/world/World.java
@@ -30,11 +30,13 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 /**
  * A few instances, their disks, the ways between them and their clients in virtual time, with faults; all chance from one
@@ -137,7 +139,7 @@
 
     private void broken(String what) {
         if (broken == null) {
-            broken = String.format(java.util.Locale.ROOT, "at %.3f s: %s", now, what);
+            broken = String.format(Locale.ROOT, "at %.3f s: %s", now, what);
         }
     }
 
@@ -647,7 +649,7 @@
 
     // Those who tend the group: what they ask for is asked until it is so.
 
-    private void tend(int tries, java.util.function.Function<Station, Boolean> step) {
+    private void tend(int tries, Function<Station, Boolean> step) {
         if (tries > 400 || broken != null) {
             return;
         }
--- a/rig/src/test/java/embershift/rig/InstancesTest.java
+++ b/rig/src/test/java/embershift/rig/InstancesTest.java
@@ -6,6 +6,7 @@
 import embershift.hosted.RecordClient;
 import embershift.rig.history.History;
 import embershift.rig.process.Instances;
+import embershift.rig.process.Program;
 import embershift.rig.process.Ways;
 import org.testng.ITestResult;
 import org.testng.annotations.AfterMethod;
@@ -13,8 +14,15 @@
 import org.testng.annotations.Test;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
 
 /** Processes of the hosted program that agree, and are killed, stopped and cut off. */
 public class InstancesTest {
@@ -189,7 +197,7 @@
             }
             instances.start(away);
             awaitApplied(away, 600);
-            assertTrue(java.util.Arrays.stream(instances.folder(away).toFile().list()).anyMatch(name ->
+            assertTrue(Arrays.stream(instances.folder(away).toFile().list()).anyMatch(name ->
                     name.startsWith("snapshot-")));
         }
     }
@@ -255,6 +263,52 @@
         }
     }
 
+    /** As an operator starts them: by their own addresses, with no ways told. */
+    @Test
+    public void instancesFindEachOtherByTheAddressesThatTheyTell() throws Exception {
+        instances = new Instances(folder, 0, ways, history, "");
+        List<Program> programs = new ArrayList<>();
+        List<String> addresses = new ArrayList<>();
+        try {
+            for (int i = 1; i <= 3; i++) {
+                try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                    addresses.add("127.0.0.1:" + free.getLocalPort());
+                }
+                Path file = folder.resolve("n" + i + ".toml");
+                Files.writeString(file, "name = \"n" + i + "\"\nfolder = \"" + folder.resolve("n" + i) + "\"\nlisten = \""
+                        + addresses.get(i - 1) + "\"\n");
+                Program program = Program.java(System.getProperty("java.class.path"), List.of("-XX:TieredStopAtLevel=1",
+                        "--add-exports", "java.base/sun.nio.ch=ALL-UNNAMED"), "embershift.hosted.Main",
+                        List.of("instance", "--installation", file.toString()), Map.of(), folder.resolve("n" + i + ".log"));
+                programs.add(program);
+                program.await(text -> text.contains("\"message\":\"listening\"") ? true : null, PATIENCE);
+            }
+            try (RecordClient client = new RecordClient(addresses.stream().map(each -> new InetSocketAddress("127.0.0.1",
+                    Integer.parseInt(each.split(":")[1]))).toList(), "c")) {
+                assertTrue(RecordClient.askOne(new InetSocketAddress("127.0.0.1", Integer.parseInt(addresses.get(0).split(":")[1])),
+                        RecordClient.call("found"), PATIENCE).path("end").asText().equals("done"));
+                for (int i = 1; i < 3; i++) {
+                    RecordClient.Outcome added = client.ask(RecordClient.call("add").put("address", addresses.get(i)), PATIENCE);
+                    assertTrue(added.done(), added.toString());
+                }
+                put(client, "a", "1");
+                InetSocketAddress first = new InetSocketAddress("127.0.0.1", Integer.parseInt(addresses.get(0).split(":")[1]));
+                for (long until = System.nanoTime() + (long) (PATIENCE * 1e9); ; Instances.sleep(0.02)) {
+                    String status = String.valueOf(RecordClient.askOne(first, RecordClient.call("status"), 1));
+                    if (status.split("\"role\":\"voter\"", -1).length == 4) {
+                        break;
+                    }
+                    assertTrue(System.nanoTime() < until, status);
+                }
+                // Agreed without the first: the others have caught up, and vote.
+                programs.get(0).kill();
+                put(client, "a", "2");
+            }
+        } finally {
+            programs.forEach(Program::kill);
+        }
+    }
+
     @Test
     public void leaderThatIsAskedToEndHandsOverFirst() throws Exception {
         start(3, 3);
--- a/rig/src/test/java/embershift/rig/WorldsTest.java
+++ b/rig/src/test/java/embershift/rig/WorldsTest.java
@@ -95,7 +95,7 @@
             {"vote lost with the oldest file", "raft/Keeper", "records.add(0, record(0, VOTE, Codec.bytes(vote)));", ""},
             {"snapshot that forgets sessions", "fleet/Record",
                 "return RecordCodec.bytes(revision, applied, items.values(), sessions.values());",
-                "return RecordCodec.bytes(revision, applied, items.values(), java.util.List.of());"},
+                "return RecordCodec.bytes(revision, applied, items.values(), List.of());"},
             {"command carried out again", "fleet/Record", "if (before != null) {\n            return before;",
                 "if (false) {\n            return before;"},
             {"torn write not cut", "storage/RecordLog", "torn = true;\n                    break;", "break;"},
