--- /dev/null
+++ b/door/src/main/java/embershift/door/Door.java
@@ -0,0 +1,647 @@
+package embershift.door;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import embershift.fleet.Admission;
+import embershift.fleet.Diary;
+import embershift.fleet.DutyId;
+import embershift.fleet.Fence;
+import embershift.fleet.Gate;
+import embershift.fleet.HostsChange;
+import embershift.fleet.HostsHeld;
+import embershift.fleet.Hybrid;
+import embershift.fleet.Revision;
+import embershift.fleet.RevisionHeld;
+import embershift.fleet.Segment;
+import embershift.fleet.Trace;
+import embershift.model.HostId;
+import embershift.model.Listing;
+import embershift.operations.Bans;
+import embershift.program.Companion;
+import embershift.protocol.Addresses;
+import embershift.protocol.NodeConfiguration;
+import embershift.protocol.RosterPage;
+import embershift.protocol.Unreadable;
+import embershift.routing.Router;
+import embershift.transport.Link;
+import embershift.transport.Loop;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * A node's side of the fleet: a connection to each instance, on which it says what it does and takes orders. What is taken is decided in
+ * {@code fleet}; here it is carried out. All on the node's loop. A node that hears no instance goes on by what it has.
+ */
+public final class Door implements Companion, Router.Lists {
+
+    /** How a node ends that was shut out, or left as it heard no instance any more. */
+    public static final int SHUT_OUT = 5;
+    public static final int STALE = 6;
+    private static final String REVISION = "revision";
+    private static final String RELEASE = "release";
+    /** Seconds for which hosts are out for a release that nobody confirms any more. */
+    private static final double RELEASE_LASTS = 30;
+    private static final double AGAIN = 0.2;
+    private static final double TRAIL_AGAIN = 2;
+    /** Seconds between two counts of tunnels in the trail, where there were any, and in any case. */
+    private static final double COUNTS = 5;
+    private static final double COUNTS_IDLE = 30;
+    private static final DutyId LISTS = new DutyId("lists");
+    private static final DutyId ROLLOUT = new DutyId("rollout");
+    private static final DutyId RELEASE_DUTY = new DutyId(RELEASE);
+    private static final List<String> TUNNELS = List.of("tunnels opened", "tunnels declined", "tunnels closed with error");
+    private static final List<String> SHORT = List.of("opened", "declined", "failed");
+
+    private final DoorFile file;
+    private final String boot = Long.toHexString(new java.security.SecureRandom().nextLong());
+    private final Gate gate = new Gate();
+    private final Admission admission;
+    private final HostsHeld hosts = new HostsHeld();
+    private final RevisionHeld revision = new RevisionHeld();
+    private final Diary diary;
+    private final List<InstanceLink> links = new ArrayList<>();
+    private final Map<DutyId, Double> unsure = new HashMap<>();
+    private Node node;
+    private Loop loop;
+    private Router router;
+    private Bans bans;
+    private String name = "";
+    private long incarnation;
+    private long floor;
+    private boolean welcomed;
+    private double startedAt;
+    private double heardAt;
+    private double ledAt = Double.NEGATIVE_INFINITY;
+    private boolean led;
+    private boolean aloneDue;
+    private double releaseUntil = Double.NEGATIVE_INFINITY;
+    private boolean leaving;
+    private boolean readyTold;
+    private Integer sockets;
+    private InetSocketAddress discovery;
+    private List<InetSocketAddress> peers;
+    private final long[] counted = new long[TUNNELS.size()];
+    private final Map<HostId, Long> setUpsCounted = new HashMap<>();
+    private double countedAt;
+    private int asking;
+    private int telling;
+    private double toldTrailAt = Double.NEGATIVE_INFINITY;
+    private Random chance;
+
+    public Door(DoorFile file) {
+        this.file = file;
+        admission = new Admission(gate, file.oldest());
+        diary = new Diary(file.trail());
+    }
+
+    @Override
+    public void begin(Node itself) {
+        node = itself;
+        loop = node.loop();
+        router = node.router();
+        bans = node.bans();
+        name = node.configuration().name();
+        chance = new Random(boot.hashCode());
+        startedAt = loop.now();
+        heardAt = startedAt;
+        countedAt = startedAt;
+        router.lists(this);
+        enter(Trace.Kind.STARTED, Map.of(REVISION, "0", "boot", boot), "");
+        for (String instance : file.instances()) {
+            links.add(new InstanceLink(Toml.socket(instance)));
+        }
+        node.log("takes the fleet's orders of " + String.join(", ", file.instances()));
+        report();
+        look();
+    }
+
+    private void enter(Trace.Kind kind, Map<String, String> fields, String words) {
+        diary.enter(System.currentTimeMillis(), kind, fields, words);
+    }
+
+    @Override
+    public boolean ready() {
+        if (admission.outWhy() != null || leaving) {
+            return false;
+        }
+        if (welcomed) {
+            return revision.number() >= floor;
+        }
+        // Without the instances a node serves by what it has, unless its operator wants otherwise.
+        return file.stale() == DoorFile.Stale.SERVE && loop.now() - startedAt >= file.start();
+    }
+
+    @Override
+    public void leaves() {
+        leaving = true;
+        countTunnels(true);
+        enter(Trace.Kind.ENDS, Map.of(), "");
+        report();
+        tellTrail(true);
+    }
+
+    // Time.
+
+    private void look() {
+        double now = loop.now();
+        links.forEach(link -> link.look(now));
+        askFences(now);
+        if (led && now - ledAt > file.alone()) {
+            led = false;
+            aloneDue = true;
+            // Not all at once: the owner of the lists may have ended for everybody.
+            loop.after(file.spread() * chance.nextDouble(), () -> {
+                if (aloneDue && !led) {
+                    aloneDue = false;
+                    router.tally().count("lists missed, discovery asked");
+                    enter(Trace.Kind.LED, Map.of("by", "discovery"), "no list for " + file.alone() + " s");
+                    router.led(false);
+                }
+            });
+        }
+        if (now > releaseUntil) {
+            releaseUntil = Double.POSITIVE_INFINITY;
+            bans.by(RELEASE, Set.of());
+        }
+        if (ready() != readyTold) {
+            readyTold = ready();
+            enter(Trace.Kind.READY, Map.of("ready", String.valueOf(readyTold)), "");
+            report();
+        }
+        if (now - countedAt >= COUNTS) {
+            countTunnels(now - countedAt >= COUNTS_IDLE);
+        }
+        if (now - toldTrailAt >= TRAIL_AGAIN) {
+            tellTrail(true);
+        }
+        if (file.stale() == DoorFile.Stale.LEAVE && now - heardAt > file.staleAfter() && !leaving) {
+            node.log("no instance is heard for " + file.staleAfter() + " s: leaves");
+            leaving = true;
+            node.end(STALE);
+        }
+        loop.after(AGAIN, this::look);
+    }
+
+    private void report() {
+        ObjectNode report = report(loop.now());
+        links.forEach(link -> link.say(report));
+        if (!leaving) {
+            loop.after(file.report(), this::report);
+        }
+    }
+
+    private ObjectNode report(double now) {
+        ObjectNode report = Words.node("report").put("clock", now).put("incarnation", incarnation).put(REVISION, revision.number())
+                .put("chain", revision.chain()).put("content", Revision.content(actedOn())).put("ready", node.serving() && ready())
+                .put("refused", revision.refused()).put("why", revision.why()).put("list-fence", hosts.fence().number())
+                .put("list", hosts.number()).put("led", led).put("open", router.openTunnels()).put("time", diary.clock().toString());
+        for (int i = 0; i < TUNNELS.size(); i++) {
+            report.put(SHORT.get(i), router.tally().of(TUNNELS.get(i)));
+        }
+        Words.list(report.putArray("out"), bans.of(RELEASE).stream().map(HostId::name).toList());
+        return report;
+    }
+
+    private void reportNow() {
+        ObjectNode report = report(loop.now());
+        links.forEach(link -> link.say(report));
+    }
+
+    /** Which orders of the fleet its parts go by, read back from them. */
+    private SortedMap<String, String> actedOn() {
+        SortedMap<String, String> acted = new TreeMap<>();
+        bans.of(REVISION).forEach(host -> acted.put(Revision.OUT + host.name(),
+                revision.fields().getOrDefault(Revision.OUT + host.name(), "")));
+        revision.fields().forEach((field, value) -> {
+            switch (field) {
+                case Revision.DISCOVERY -> acted.put(field, Addresses.written(router.discovery()));
+                case Revision.SOCKETS -> acted.put(field, String.valueOf(router.descriptors()));
+                case Revision.PEERS -> acted.put(field, String.join(",", router.peers().stream().map(Addresses::written).toList()));
+                default -> { }
+            }
+        });
+        return acted;
+    }
+
+    // The trail.
+
+    private void countTunnels(boolean always) {
+        Map<String, String> fields = new TreeMap<>();
+        for (int i = 0; i < TUNNELS.size(); i++) {
+            long now = router.tally().of(TUNNELS.get(i));
+            if (now > counted[i]) {
+                fields.put(SHORT.get(i), String.valueOf(now - counted[i]));
+                counted[i] = now;
+            }
+        }
+        for (Map.Entry<HostId, Long> each : setUpsCounted.entrySet()) {
+            long now = router.setUps(each.getKey());
+            if (now > each.getValue()) {
+                fields.put("to." + each.getKey().name(), String.valueOf(now - each.getValue()));
+                each.setValue(now);
+            }
+        }
+        if (!fields.isEmpty() || always) {
+            countedAt = loop.now();
+            fields.put(REVISION, String.valueOf(revision.number()));
+            enter(Trace.Kind.TUNNELS, fields, "");
+        }
+    }
+
+    private void tellTrail(boolean again) {
+        if (incarnation == 0 || admission.outWhy() != null) {
+            return;
+        }
+        Segment segment = diary.next(name, incarnation);
+        if (segment == null) {
+            return;
+        }
+        toldTrailAt = loop.now();
+        for (int i = 0; i < links.size(); i++) {
+            // Another than last time, where that one did not keep it.
+            InstanceLink link = links.get((telling + (again ? 1 : 0) + i) % links.size());
+            if (link.welcome) {
+                telling = links.indexOf(link);
+                link.say(Words.node("trail").put("key", segment.key()).put("number", segment.number()).put("text", segment.text()));
+                return;
+            }
+        }
+    }
+
+    // Fences that were forgotten.
+
+    private void askFences(double now) {
+        unsure.forEach((duty, asked) -> {
+            if (gate.highest(duty) == null && now - asked >= AGAIN && !links.isEmpty()) {
+                unsure.put(duty, now);
+                links.get(asking++ % links.size()).ask(duty);
+            }
+        });
+    }
+
+    // Orders.
+
+    private void order(InstanceLink from, ObjectNode order) {
+        double now = loop.now();
+        DutyId duty = new DutyId(order.path("duty").asText());
+        Fence fence = new Fence(order.path("fence").asLong());
+        Admission.Word word = admission.take(now, duty, fence, order.path("seen").asDouble());
+        ObjectNode verdict = Words.node("verdict").put("id", order.path("id").asLong()).put("duty", duty.name())
+                .put("verdict", word.verdict().name()).put("why", word.why())
+                .put("known", word.known() == null ? 0 : word.known().number());
+        router.tally().count("orders " + word.verdict().name().toLowerCase(java.util.Locale.ROOT));
+        if (word.verdict() == Admission.Verdict.TAKEN) {
+            carryOut(duty, fence, order, verdict, () -> from.say(verdict));
+            return;
+        }
+        if (word.verdict() == Admission.Verdict.UNSURE) {
+            unsure.putIfAbsent(duty, Double.NEGATIVE_INFINITY);
+        } else {
+            enter(Trace.Kind.ORDER, Map.of("duty", duty.name(), "fence", String.valueOf(fence.number()), "verdict",
+                    word.verdict().name(), "id", order.path("id").asText()), word.why());
+        }
+        from.say(verdict);
+    }
+
+    private void carryOut(DutyId duty, Fence fence, ObjectNode order, ObjectNode verdict, Runnable answer) {
+        String what = order.path("what").asText();
+        if (what.equals("hosts") && duty.equals(LISTS)) {
+            verdict.put("end", hosts(fence, order).name());
+            answer.run();
+        } else if (what.equals(REVISION) && duty.equals(ROLLOUT)) {
+            revision(fence, order, verdict, answer);
+        } else if (what.equals("out") && duty.equals(RELEASE_DUTY)) {
+            releaseUntil = loop.now() + RELEASE_LASTS;
+            Set<HostId> out = new LinkedHashSet<>();
+            Words.list(order.path("hosts")).forEach(host -> out.add(new HostId(host)));
+            Set<HostId> before = bans.of(RELEASE);
+            bans.by(RELEASE, out);
+            if (!before.equals(out)) {
+                enter(Trace.Kind.ORDER, traceOfOut(duty, fence, before, out), "");
+            }
+            // Behind the round that takes it.
+            loop.execute(() -> {
+                answer.run();
+                reportNow();
+            });
+        } else {
+            // Of a later version than this program: nothing of it is done.
+            verdict.put("verdict", "REFUSED").put("why", "no such order: " + duty.name() + " " + what);
+            answer.run();
+        }
+    }
+
+    private static Map<String, String> traceOfOut(DutyId duty, Fence fence, Set<HostId> before, Set<HostId> out) {
+        Map<String, String> fields = new TreeMap<>(Map.of("duty", duty.name(), "fence", String.valueOf(fence.number())));
+        out.stream().filter(host -> !before.contains(host)).forEach(host -> fields.put("out." + host.name(), "1"));
+        before.stream().filter(host -> !out.contains(host)).forEach(host -> fields.put("back." + host.name(), "1"));
+        return fields;
+    }
+
+    private HostsHeld.End hosts(Fence fence, ObjectNode order) {
+        HostsChange change = new HostsChange(order.path("number").asLong(), order.path("base").asLong(),
+                order.path("generation").asLong(), Words.texts(order.path("changed")), Words.list(order.path("gone")));
+        HostsHeld.End end = hosts.take(fence, change);
+        if (end != HostsHeld.End.TAKEN && end != HostsHeld.End.SAME) {
+            return end;
+        }
+        ledAt = loop.now();
+        aloneDue = false;
+        if (!led) {
+            led = true;
+            enter(Trace.Kind.LED, Map.of("by", "list", "fence", String.valueOf(fence.number()), "number",
+                    String.valueOf(change.number())), "");
+            router.led(true);
+            router.listed(whole());
+        } else if (end == HostsHeld.End.TAKEN) {
+            router.tally().count("lists taken");
+            router.listed(change.base() == 0 ? whole() : page(false, change.changed(), change.gone()));
+        }
+        return end;
+    }
+
+    @Override
+    public void discoverySaid(long generation) {
+        hosts.discoverySaid(generation);
+    }
+
+    @Override
+    public RosterPage whole() {
+        return page(true, hosts.entries(), Set.of());
+    }
+
+    private RosterPage page(boolean whole, Map<String, String> entries, Set<String> gone) {
+        StringBuilder text = new StringBuilder("{\"generation\":" + hosts.number() + ",\"reset\":" + whole + ",\"instances\":[");
+        text.append(String.join(",", entries.values())).append("]}");
+        RosterPage page;
+        try {
+            page = RosterPage.read(text.toString());
+        } catch (Unreadable e) {
+            // Entries are objects, or they would not have been told; an empty list is no word at all.
+            node.log("a list that can't be read: " + e.getMessage());
+            page = new RosterPage(0, false, List.of(), Map.of(), 1);
+        }
+        if (gone.isEmpty()) {
+            return page;
+        }
+        List<Listing> listings = new ArrayList<>(page.listings());
+        gone.forEach(host -> listings.add(new Listing(new HostId(host), Listing.State.GONE, null, 1, 0, 0)));
+        return new RosterPage(page.generation(), false, listings, page.addresses(), page.unreadable());
+    }
+
+    private void revision(Fence fence, ObjectNode order, ObjectNode verdict, Runnable answer) {
+        long number = order.path("number").asLong();
+        long before = revision.number();
+        SortedMap<String, String> fieldsBefore = revision.fields();
+        // Whatever has been answered until now was answered by the revision before.
+        countTunnels(false);
+        RevisionHeld.Taken taken = revision.take(number, order.path("base").asLong(), order.path("chain").asText(),
+                order.path("content").asText(), Words.texts(order.path("fields")), this::act);
+        verdict.put("end", taken.end().name()).put("why", taken.why());
+        Map<String, String> fields = new TreeMap<>(Map.of(REVISION, String.valueOf(number), "fence", String.valueOf(fence.number())));
+        if (taken.end() == RevisionHeld.End.REFUSED) {
+            node.log("revision " + number + " is refused, " + before + " stays: " + taken.why());
+            enter(Trace.Kind.REFUSED, fields, taken.why());
+        }
+        if (taken.end() != RevisionHeld.End.TAKEN) {
+            answer.run();
+            reportNow();
+            return;
+        }
+        // Behind the round that takes it: from then on it is acted on.
+        loop.execute(() -> {
+            fields.put("from", String.valueOf(before));
+            fields.put("content", Revision.content(actedOn()));
+            Set<HostId> was = outOf(fieldsBefore);
+            Set<HostId> is = outOf(revision.fields());
+            fields.putAll(traceOfOut(ROLLOUT, fence, was, is));
+            enter(Trace.Kind.TOOK, fields, "");
+            setUpsCounted.keySet().retainAll(is);
+            is.forEach(host -> setUpsCounted.putIfAbsent(host, router.setUps(host)));
+            node.log("goes by revision " + number);
+            answer.run();
+            reportNow();
+        });
+    }
+
+    private static Set<HostId> outOf(SortedMap<String, String> fields) {
+        Set<HostId> out = new LinkedHashSet<>();
+        fields.keySet().stream().filter(field -> field.startsWith(Revision.OUT))
+                .forEach(field -> out.add(new HostId(field.substring(Revision.OUT.length()))));
+        return out;
+    }
+
+    /** Has a revision acted on, all of it between two rounds of the module; the reason where it can't be, and then nothing is. */
+    private String act(SortedMap<String, String> fields) {
+        InetSocketAddress toDiscovery = null;
+        Integer toSockets = null;
+        List<InetSocketAddress> toPeers = null;
+        for (Map.Entry<String, String> field : fields.entrySet()) {
+            String value = field.getValue();
+            try {
+                switch (field.getKey()) {
+                    case Revision.DISCOVERY -> toDiscovery = Addresses.read(value);
+                    case Revision.SOCKETS -> {
+                        if (!value.matches("\\d{1,6}") || Integer.parseInt(value) < 2 * Router.OPERATORS) {
+                            return "sockets: " + value + " is no number of at least " + 2 * Router.OPERATORS;
+                        }
+                        toSockets = Integer.parseInt(value);
+                    }
+                    case Revision.PEERS -> {
+                        toPeers = new ArrayList<>();
+                        for (String peer : value.isEmpty() ? List.<String>of() : Arrays.asList(value.split(","))) {
+                            toPeers.add(Addresses.read(peer));
+                        }
+                    }
+                    default -> {
+                        if (!field.getKey().startsWith(Revision.OUT) || field.getKey().length() == Revision.OUT.length()) {
+                            return field.getKey() + " is not known here";
+                        }
+                    }
+                }
+            } catch (Unreadable e) {
+                return field.getKey() + ": " + e.getMessage();
+            }
+        }
+        InetSocketAddress discoveryBefore = router.discovery();
+        discovery = toDiscovery;
+        sockets = toSockets;
+        peers = toPeers;
+        router.reconfigure(adapt(node.configuration()));
+        if (!discoveryBefore.equals(router.discovery())) {
+            hosts.discoverySaid(Long.MIN_VALUE);
+        }
+        bans.by(REVISION, outOf(fields));
+        return null;
+    }
+
+    @Override
+    public NodeConfiguration adapt(NodeConfiguration read) {
+        return read.with(discovery, sockets, peers);
+    }
+
+    private void out(String why) {
+        if (admission.outWhy() == null) {
+            admission.shutOut(why);
+            node.log("shut out: " + why);
+            enter(Trace.Kind.OUT, Map.of(), why);
+            node.end(SHUT_OUT);
+        }
+    }
+
+    /** The way to one instance, dialled again when it is lost. */
+    private final class InstanceLink implements Link.Events {
+        private static final double FIRST_GAP = 0.1;
+        private static final double LONGEST_GAP = 2;
+        private static final double STUCK = 3;
+
+        private final InetSocketAddress address;
+        private Link link;
+        private Frames frames;
+        private boolean connected;
+        private boolean welcome;
+        private double gap = FIRST_GAP;
+        private double notBefore;
+        private double dialledAt;
+        private double heard;
+        private final Map<Long, DutyId> asked = new LinkedHashMap<>();
+        private long calls;
+
+        InstanceLink(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        void look(double now) {
+            if (link == null) {
+                if (now >= notBefore) {
+                    dial(now);
+                }
+            } else if (!welcome && now - dialledAt > STUCK || link.backedUp() && now - heard > STUCK) {
+                drop(now);
+            }
+        }
+
+        private void dial(double now) {
+            frames = new Frames();
+            connected = false;
+            welcome = false;
+            asked.clear();
+            dialledAt = now;
+            heard = now;
+            link = loop.connect(address, this);
+        }
+
+        private void drop(double now) {
+            if (link != null) {
+                link.close();
+                link = null;
+            }
+            welcome = false;
+            // Others lost theirs at the same time.
+            gap = Math.min(LONGEST_GAP, 2 * gap);
+            notBefore = now + gap * (0.5 + chance.nextDouble());
+        }
+
+        @Override
+        public void connected() {
+            connected = true;
+            link.write(Words.piece(Frames.NODE, Words.node("here").put("version", 1).put("name", name).put("boot", boot)
+                    .put("incarnation", incarnation).put("clock", loop.now())));
+        }
+
+        void say(ObjectNode words) {
+            if (welcome && link != null && !link.backedUp() && !link.write(Words.piece(Frames.NODE, words))) {
+                drop(loop.now());
+            }
+        }
+
+        void ask(DutyId duty) {
+            if (link != null && connected) {
+                asked.put(++calls, duty);
+                link.write(Words.piece(Frames.CALL, Words.node().put("call", "get").put("key", duty.fenceKey()).put("id", calls)
+                        .put("version", 1)));
+            }
+        }
+
+        @Override
+        public void notConnected() {
+            link = null;
+            drop(loop.now());
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            heard = loop.now();
+            try {
+                frames.take(bytes, piece -> {
+                    try {
+                        if (piece[0] == Frames.ORDER) {
+                            taken(Words.read(piece));
+                        } else if (piece[0] == Frames.ANSWER) {
+                            answered(Words.read(piece));
+                        }
+                    } catch (Frames.Unreadable e) {
+                        drop(loop.now());
+                    }
+                });
+            } catch (Frames.Unreadable e) {
+                drop(loop.now());
+            }
+        }
+
+        private void answered(JsonNode answer) {
+            DutyId duty = asked.remove(answer.path("id").asLong());
+            if (duty != null && answer.path("end").asText().equals("done")) {
+                gate.told(duty, new Fence(answer.path("items").path(0).path("revision").asLong()));
+            }
+        }
+
+        private void taken(ObjectNode words) {
+            Hybrid time = Hybrid.read(words.path("time").asText(""));
+            if (time != null) {
+                diary.heard(time, System.currentTimeMillis());
+            }
+            floor = Math.max(floor, words.path("floor").asLong());
+            switch (words.path("kind").asText()) {
+                case "welcome" -> {
+                    heardAt = loop.now();
+                    incarnation = Math.max(incarnation, words.path("incarnation").asLong());
+                    welcomed = true;
+                    welcome = true;
+                    gap = FIRST_GAP;
+                    say(report(loop.now()));
+                }
+                case "heard" -> heardAt = loop.now();
+                case "order" -> order(this, words);
+                case "kept" -> {
+                    diary.kept(words.path("number").asLong());
+                    tellTrail(false);
+                }
+                case "out" -> out(words.path("why").asText());
+                default -> { }
+            }
+        }
+
+        @Override
+        public void ended() {
+            drop(loop.now());
+        }
+
+        @Override
+        public void broken() {
+            drop(loop.now());
+        }
+    }
+}
--- a/hosted/src/main/java/embershift/hosted/Frames.java
+++ b/door/src/main/java/embershift/door/Frames.java
@@ -1,4 +1,4 @@
-package embershift.hosted;
+package embershift.door;
 
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
@@ -8,26 +8,29 @@
  * What goes over a connection, cut into pieces: length, CRC32C, content, whose first byte tells its kind. Fed bytes in any
  * split; a piece that was changed ends the connection, as nothing behind it can be trusted.
  */
-final class Frames {
+public final class Frames {
 
     /** What the first byte of a piece says. */
-    static final byte HELLO = 1;
-    static final byte WELCOME = 2;
-    static final byte NO = 3;
-    static final byte MESSAGE = 4;
-    static final byte CALL = 5;
-    static final byte ANSWER = 6;
+    public static final byte HELLO = 1;
+    public static final byte WELCOME = 2;
+    public static final byte NO = 3;
+    public static final byte MESSAGE = 4;
+    public static final byte CALL = 5;
+    public static final byte ANSWER = 6;
+    /** From a node to an instance, and back: see {@link Words}. */
+    public static final byte NODE = 7;
+    public static final byte ORDER = 8;
 
     /** Bytes of one piece at the most. */
-    static final int LONGEST = 4 << 20;
+    public static final int LONGEST = 4 << 20;
     private static final int HEAD = 8;
 
     /** Bytes that are no such pieces. */
-    static final class Unreadable extends Exception {
+    public static final class Unreadable extends Exception {
 
         private static final long serialVersionUID = 1;
 
-        Unreadable(String message) {
+        public Unreadable(String message) {
             super(message);
         }
     }
@@ -35,7 +38,7 @@
     private ByteBuffer waiting = ByteBuffer.allocate(256);
 
     /** Hands on each whole piece. */
-    void take(ByteBuffer bytes, Consumer<byte[]> piece) throws Unreadable {
+    public void take(ByteBuffer bytes, Consumer<byte[]> piece) throws Unreadable {
         if (waiting.remaining() < bytes.remaining()) {
             int wanted = waiting.position() + bytes.remaining();
             waiting = ByteBuffer.allocate(Math.max(wanted, Math.min(2 * waiting.capacity(), LONGEST)))
@@ -61,7 +64,7 @@
         waiting.compact();
     }
 
-    static ByteBuffer piece(byte kind, byte[] content) {
+    public static ByteBuffer piece(byte kind, byte[] content) {
         byte[] whole = new byte[1 + content.length];
         whole[0] = kind;
         System.arraycopy(content, 0, whole, 1, content.length);
--- a/emulator/src/test/java/embershift/ArchitectureTest.java
+++ b/emulator/src/test/java/embershift/ArchitectureTest.java
@@ -30,21 +30,23 @@
                 .layer("storage").definedBy("embershift.storage")
                 .layer("raft").definedBy("embershift.raft")
                 .layer("fleet").definedBy("embershift.fleet")
+                .layer("door").definedBy("embershift.door")
                 .layer("hosted").definedBy("embershift.hosted")
                 .layer("rig").definedBy("embershift.rig..")
                 .layer("emulator").definedBy("embershift.emulator..")
                 .whereLayer("policy").mayOnlyBeAccessedByLayers("routing", "adapter", "emulator")
                 .whereLayer("transport").mayOnlyBeAccessedByLayers("routing", "operations", "program",
-                        "hosted", "emulator")
+                        "door", "hosted", "emulator")
                 .whereLayer("protocol").mayOnlyBeAccessedByLayers("routing", "operations", "adapter",
-                        "program", "emulator")
-                .whereLayer("routing").mayOnlyBeAccessedByLayers("operations", "program", "emulator")
-                .whereLayer("operations").mayOnlyBeAccessedByLayers("program")
+                        "program", "door", "hosted", "emulator")
+                .whereLayer("routing").mayOnlyBeAccessedByLayers("operations", "program", "door", "emulator")
+                .whereLayer("operations").mayOnlyBeAccessedByLayers("program", "door")
                 .whereLayer("adapter").mayOnlyBeAccessedByLayers("program")
-                .whereLayer("program").mayOnlyBeAccessedByLayers("emulator")
+                .whereLayer("program").mayOnlyBeAccessedByLayers("door", "emulator")
                 .whereLayer("storage").mayOnlyBeAccessedByLayers("raft", "hosted", "rig")
                 .whereLayer("raft").mayOnlyBeAccessedByLayers("fleet", "hosted", "rig")
-                .whereLayer("fleet").mayOnlyBeAccessedByLayers("hosted", "rig")
+                .whereLayer("fleet").mayOnlyBeAccessedByLayers("door", "hosted", "rig")
+                .whereLayer("door").mayOnlyBeAccessedByLayers("hosted", "rig")
                 .whereLayer("hosted").mayOnlyBeAccessedByLayers("rig")
                 .whereLayer("rig").mayOnlyBeAccessedByLayers("emulator")
                 .whereLayer("emulator").mayNotBeAccessedByAnyLayer()
@@ -67,7 +69,7 @@
                 .and().doNotHaveSimpleName("Keeper")
                 .should().onlyDependOnClassesThat().resideInAnyPackage("embershift.raft", "embershift.fleet", "java.lang",
                         "java.lang.invoke", "java.lang.runtime", "java.util", "java.util.function", "java.util.stream",
-                        "java.util.zip", "java.nio", "java.nio.charset", "java.io")
+                        "java.util.zip", "java.nio", "java.nio.charset", "java.io", "java.security")
                 .check(PROGRAM);
         noClasses().that().resideInAnyPackage("embershift.raft", "embershift.fleet").and().doNotHaveSimpleName("Keeper")
                 .should().dependOnClassesThat().haveNameMatching("java\\.io\\.(File|RandomAccess|Console).*")
--- a/fleet/src/main/java/embershift/fleet/Owner.java
+++ b/fleet/src/main/java/embershift/fleet/Owner.java
@@ -39,7 +39,7 @@
         public static final Terms USUAL = new Terms(3, 0.2, 20, 3, 30);
     }
 
-    private enum Stage { AWAY, OPENING, IDLE, CLAIMING, LOOKING, NOTING, ACTING, RESTING, GIVING_BACK, OVER }
+    private enum Stage { AWAY, OPENING, IDLE, CLAIMING, LOOKING, NOTING, ACTING, RESTING, STANDING, GIVING_BACK, OVER }
 
     private final String name;
     private final DutyId duty;
@@ -60,6 +60,9 @@
     private Plan.Progress noting;
     private double progressed;
     private int losses;
+    /** Seconds by which this one is slower to claim than others: duties spread over those who have few. */
+    private double reluctance;
+    private boolean leaves;
 
     public Owner(String name, DutyId duty, Plan plan, Terms terms, Hands hands) {
         this.name = name;
@@ -76,7 +79,18 @@
     }
 
     private boolean working() {
-        return stage == Stage.LOOKING || stage == Stage.NOTING || stage == Stage.ACTING || stage == Stage.RESTING;
+        return stage == Stage.LOOKING || stage == Stage.NOTING || stage == Stage.ACTING || stage == Stage.RESTING
+                || stage == Stage.STANDING;
+    }
+
+    /** Whether this one has the duty, or is about to give it back. */
+    public boolean has() {
+        return working() || stage == Stage.GIVING_BACK;
+    }
+
+    /** Whether what may take as long as any effect of the plan may be begun now: it ends while this one still holds. */
+    public boolean mayAct(double now) {
+        return working() && tenure.mayBegin(now, plan.longest());
     }
 
     public Fence fence() {
@@ -110,8 +124,10 @@
                 ask(now, new Command.Open(name, terms.session()));
             }
             case IDLE -> {
-                stage = Stage.CLAIMING;
-                ask(now, Grants.claim(session, ++number, duty, name));
+                if (!leaves) {
+                    stage = Stage.CLAIMING;
+                    ask(now, Grants.claim(session, ++number, duty, name));
+                }
             }
             case LOOKING -> {
                 next = now + 5 * terms.again();
@@ -161,15 +177,20 @@
                 session = new SessionId(result);
                 number = 0;
                 renewedAt = now;
-                idle(now, 0);
+                idle(now, reluctance);
             }
             case CLAIMING -> {
                 tenure.granted(new Fence(result), asked);
                 renewedAt = Double.NEGATIVE_INFINITY;
                 progressed = now;
                 progress = null;
-                stage = Stage.LOOKING;
+                stage = plan.standing() ? Stage.STANDING : Stage.LOOKING;
                 next = now;
+                if (leaves) {
+                    giveBack(now);
+                } else if (plan.standing()) {
+                    hands.act(duty, plan, 0, tenure.fence());
+                }
             }
             case NOTING -> {
                 progress = noting;
@@ -183,7 +204,7 @@
 
     private void conditionFailed(double now) {
         switch (stage) {
-            case CLAIMING -> idle(now, terms.again());
+            case CLAIMING -> idle(now, terms.again() + reluctance);
             case NOTING, GIVING_BACK -> lost(now);
             default -> { }
         }
@@ -205,6 +226,31 @@
         return Math.min(terms.longestPause(), terms.again() * Math.pow(2, Math.min(losses, 20)));
     }
 
+    /** Something of it has got on: it is not stuck. */
+    public void progressed(double now) {
+        progressed = now;
+    }
+
+    /** A receiver, or the record, knows a later grant than this one's: another has the duty. */
+    public void knows(double now, Fence later) {
+        if (working() && later.compareTo(tenure.fence()) > 0) {
+            lost(now);
+        }
+    }
+
+    /** How much slower than others this one is to claim, in seconds. */
+    public void reluctance(double seconds) {
+        reluctance = seconds;
+    }
+
+    /** Gives the duty back at once, if it has it, and claims nothing more while it leaves. */
+    public void leaves(double now, boolean on) {
+        leaves = on;
+        if (on) {
+            giveBack(now);
+        }
+    }
+
     /** The session was renewed by a call of that time. */
     public void renewed(double now, double sent) {
         if (working()) {
--- a/hosted/src/main/java/embershift/hosted/Calls.java
+++ b/hosted/src/main/java/embershift/hosted/Calls.java
@@ -1,10 +1,12 @@
 package embershift.hosted;
 
-import com.fasterxml.jackson.core.JacksonException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import embershift.door.Frames;
+import embershift.door.Toml;
+import embershift.door.Words;
 import embershift.fleet.Answer;
 import embershift.fleet.Command;
 import embershift.fleet.Condition;
@@ -16,7 +18,6 @@
 import embershift.raft.Member;
 import embershift.raft.Raft;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -35,33 +36,13 @@
     private Calls() {
     }
 
-    static byte[] bytes(ObjectNode node) {
-        try {
-            return JSON.writeValueAsBytes(node);
-        } catch (JacksonException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     static ObjectNode node() {
         return JSON.createObjectNode();
     }
 
-    /** A piece's JSON behind its first byte. */
-    static ObjectNode read(byte[] piece) throws Frames.Unreadable {
-        try {
-            if (JSON.readTree(piece, 1, piece.length - 1) instanceof ObjectNode node) {
-                return node;
-            }
-            throw new Frames.Unreadable("no call");
-        } catch (IOException e) {
-            throw new Frames.Unreadable("no JSON: " + e.getMessage());
-        }
-    }
-
     /** Answers a call, now or later. */
     static void take(Instance instance, Instance.Entrance entrance, byte[] piece) throws Frames.Unreadable {
-        ObjectNode call = read(piece);
+        ObjectNode call = Words.read(piece);
         long id = call.path("id").asLong();
         Waiter waiter = (number, answer) -> {
             entrance.answered(number);
@@ -113,7 +94,7 @@
     }
 
     private static void add(Instance instance, Instance.Entrance entrance, Waiter waiter, ObjectNode call) {
-        if (!Installation.isAddress(call.path("address").asText())) {
+        if (!Toml.isAddress(call.path("address").asText())) {
             waiter.hears(0, new Answer.Refused(Answer.Reason.UNREADABLE, "an address is HOST:PORT"));
         } else {
             instance.add(entrance.waits(waiter), call.path("address").asText(),
--- a/hosted/src/main/java/embershift/hosted/FleetCommands.java
+++ b/hosted/src/main/java/embershift/hosted/FleetCommands.java
@@ -6,6 +6,7 @@
 import com.beust.jcommander.Parameters;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import embershift.door.Toml;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -19,7 +20,7 @@
     private static final int REFUSED = 1;
     private static final int UNKNOWN = 3;
 
-    private abstract static class Command {
+    abstract static class Command {
         @Parameter(names = "--at", description = "Instances to ask, as HOST:PORT,HOST:PORT", required = true)
         String at;
 
@@ -35,10 +36,10 @@
         List<InetSocketAddress> addresses() {
             List<InetSocketAddress> all = new ArrayList<>();
             for (String each : at.split(",")) {
-                if (!Installation.isAddress(each)) {
+                if (!Toml.isAddress(each)) {
                     throw new ParameterException("--at takes HOST:PORT, not " + each);
                 }
-                all.add(Installation.socket(each));
+                all.add(Toml.socket(each));
             }
             return all;
         }
@@ -308,6 +309,37 @@
         }
     }
 
+    /** A command that asks more than once; each ends as one call does. */
+    abstract static class Steps extends Command {
+
+        @Override
+        final ObjectNode call() {
+            throw new IllegalStateException("it asks by itself");
+        }
+
+        @Override
+        final int run() {
+            try (RecordClient client = new RecordClient(addresses(), "fleet")) {
+                return told(run(client));
+            }
+        }
+
+        /** The outcome of the call that was refused or unknown, or of the last one. */
+        abstract RecordClient.Outcome run(RecordClient client);
+
+        final RecordClient.Outcome get(RecordClient client, String key) {
+            return client.ask(RecordClient.call("get").put("key", key), within);
+        }
+
+        final RecordClient.Outcome list(RecordClient client, String prefix) {
+            return client.ask(RecordClient.call("list").put("prefix", prefix), within);
+        }
+
+        static RecordClient.Outcome refused(String reason, String text) {
+            return new RecordClient.Outcome("refused", Calls.node().put("reason", reason).put("text", text));
+        }
+    }
+
     int run(String[] args) {
         Map<String, Command> commands = new LinkedHashMap<>();
         commands.put("status", new Status());
@@ -321,6 +353,8 @@
         commands.put("add", new Add());
         commands.put("remove", new Remove());
         commands.put("transfer", new Transfer());
+        OrderCommands.all().forEach(commands::put);
+        commands.put("audit", new AuditCommand());
         JCommander line = JCommander.newBuilder().programName("embershift-hosted fleet").build();
         commands.forEach(line::addCommand);
         try {
--- a/hosted/src/main/java/embershift/hosted/Greeting.java
+++ b/hosted/src/main/java/embershift/hosted/Greeting.java
@@ -1,5 +1,6 @@
 package embershift.hosted;
 
+import embershift.door.Frames;
 import embershift.raft.MemberId;
 
 import java.io.ByteArrayInputStream;
--- a/hosted/src/main/java/embershift/hosted/Installation.java
+++ b/hosted/src/main/java/embershift/hosted/Installation.java
@@ -1,36 +1,59 @@
 package embershift.hosted;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
-import com.fasterxml.jackson.core.JacksonException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
-import com.networknt.schema.JsonSchemaFactory;
-import com.networknt.schema.SpecVersion;
-import com.networknt.schema.ValidationMessage;
-
-import java.io.IOException;
-import java.io.InputStream;
+import embershift.door.Toml;
+import embershift.fleet.Owner;
+import embershift.fleet.Rollout;
+
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.stream.Stream;
 
 /**
  * What an operator says of one instance. {@code folder} is its own; {@code address}: where the others reach it, if that is not
  * where it listens; {@code ways}: where this instance reaches others, by name, in place of what those say. Times in seconds.
  */
 public record Installation(String name, String folder, String listen, String address, boolean drills, Pace pace,
-                           Bounds bounds, Map<String, String> ways) {
+                           Bounds bounds, Map<String, String> ways, Fleet fleet) {
+
+    static InetSocketAddress socket(String address) {
+        return Toml.socket(address);
+    }
+
+    /**
+     * What the duties go by; absent: this instance owns none. {@code discovery}: asked for all nodes; {@code manager}: who starts hosts and
+     * nodes anew; {@code session}: seconds without a word after which a duty goes to another. Others: see {@link Rollout.Terms}.
+     */
+    public record Fleet(String discovery, String manager, @JsonProperty("session-s") Double session,
+                        @JsonProperty("settle-s") Double settle, @JsonProperty("patience-s") Double patience,
+                        @JsonProperty("silent-s") Double silent, @JsonProperty("first-share") Double share,
+                        @JsonProperty("tries") Integer tries, @JsonProperty("at-once") Integer flight,
+                        @JsonProperty("service") Double service) {
+
+        public Fleet {
+            Rollout.Terms usual = Rollout.Terms.USUAL;
+            session = session == null ? Owner.Terms.USUAL.session() : session;
+            settle = settle == null ? usual.settle() : settle;
+            patience = patience == null ? usual.patience() : patience;
+            silent = silent == null ? usual.silent() : silent;
+            share = share == null ? usual.share() : share;
+            tries = tries == null ? usual.tries() : tries;
+            flight = flight == null ? usual.flight() : flight;
+            service = service == null ? usual.service() : service;
+        }
 
-    /** Whether this is HOST:PORT. */
-    static boolean isAddress(String text) {
-        return text.matches("[^:\\s]+:\\d{1,5}") && Integer.parseInt(text.substring(text.lastIndexOf(':') + 1)) <= 65_535;
+        Owner.Terms terms(double stuck, int owners) {
+            Owner.Terms usual = Owner.Terms.USUAL;
+            return new Owner.Terms(session, usual.again(), stuck, owners, usual.longestPause());
+        }
+
+        Rollout.Terms rollout() {
+            return new Rollout.Terms(settle, patience, Rollout.Terms.USUAL.again(), flight, tries, silent, share, service);
+        }
     }
 
     /** See {@link embershift.raft.Pace}. */
@@ -78,16 +101,6 @@
         }
     }
 
-    /** It can't be used. The message is one line: file, key, what was expected. */
-    public static final class Unusable extends Exception {
-
-        private static final long serialVersionUID = 1;
-
-        Unusable(String message) {
-            super(message);
-        }
-    }
-
     public Installation {
         address = address == null ? listen : address;
         pace = pace == null ? new Pace(null, null, null, null) : pace;
@@ -95,62 +108,38 @@
         ways = ways == null ? Map.of() : Map.copyOf(ways);
     }
 
-    public static Installation read(Path file) throws Unusable {
-        String text;
-        try {
-            text = Files.readString(file, StandardCharsets.UTF_8);
-        } catch (IOException e) {
-            throw new Unusable(file + ": can't be read: " + e.getMessage());
-        }
-        return read(text, file.toString());
+    public static Installation read(Path file) throws Toml.Unusable {
+        return read(Toml.text(file), file.toString());
     }
 
-    static Installation read(String text, String file) throws Unusable {
-        try (InputStream rules = Installation.class.getResourceAsStream("installation.schema.json")) {
-            JsonNode tree = new TomlMapper().readTree(text);
-            ValidationMessage wrong = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(rules)
-                    .validate(tree).stream().min((one, other) -> one.getMessage().compareTo(other.getMessage()))
-                    .orElse(null);
-            if (wrong != null) {
-                throw new Unusable(file + ": " + wrong.getMessage().replaceFirst("^\\$[.:]? ?", ""));
+    static Installation read(String text, String file) throws Toml.Unusable {
+        Installation read = Toml.read(text, file, "installation", tree -> {
+            if (!tree.has("drills")) {
+                tree.put("drills", false);
             }
-            Installation read = JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
-                    .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build()
-                    .treeToValue(withDrills(tree), Installation.class);
-            read.check(file);
-            return read;
-        } catch (JacksonException e) {
-            int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
-            throw new Unusable(file + ":" + line + ": " + e.getOriginalMessage().lines().findFirst().orElse(""));
-        } catch (IOException e) {
-            throw new Unusable(file + ": " + e.getMessage());
-        }
+        }, Installation.class);
+        read.check(file);
+        return read;
     }
 
-    private static JsonNode withDrills(JsonNode tree) {
-        return tree.has("drills") ? tree : ((ObjectNode) tree).put("drills", false);
-    }
-
-    private void check(String file) throws Unusable {
+    private void check(String file) throws Toml.Unusable {
         try {
             pace.inTicks();
         } catch (IllegalArgumentException e) {
-            throw new Unusable(file + ": pace: " + e.getMessage());
+            throw new Toml.Unusable(file + ": pace: " + e.getMessage());
         }
         if (bounds.waiting < bounds.command) {
-            throw new Unusable(file + ": bounds.waiting-bytes: not under bounds.command-bytes");
+            throw new Toml.Unusable(file + ": bounds.waiting-bytes: not under bounds.command-bytes");
         }
         List<String> addresses = new ArrayList<>(ways.values());
         addresses.addAll(List.of(listen, address));
+        if (fleet != null) {
+            Stream.of(fleet.discovery, fleet.manager).filter(Objects::nonNull).forEach(addresses::add);
+        }
         for (String each : addresses) {
-            if (!isAddress(each)) {
-                throw new Unusable(file + ": " + each + ": a port is 65535 at the most");
+            if (!Toml.isAddress(each)) {
+                throw new Toml.Unusable(file + ": " + each + ": a port is 65535 at the most");
             }
         }
     }
-
-    static InetSocketAddress socket(String address) {
-        int colon = address.lastIndexOf(':');
-        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-    }
 }
--- a/hosted/src/main/java/embershift/hosted/Instance.java
+++ b/hosted/src/main/java/embershift/hosted/Instance.java
@@ -1,6 +1,9 @@
 package embershift.hosted;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import embershift.door.Frames;
+import embershift.door.Toml;
+import embershift.door.Words;
 import embershift.fleet.Answer;
 import embershift.fleet.Replica;
 import embershift.raft.Codec;
@@ -50,6 +53,9 @@
     /** Seconds for which a leader that ends waits until another leads. */
     private static final double HAND_OVER = 1.5;
     private static final double LOOK = 0.02;
+    private static final double LOOK_WHERE = 0.2;
+    /** Seconds for which one that ends waits for its duties to be given back. */
+    private static final double GIVE_BACK = 1;
 
     private final Installation installation;
     private final Loop loop;
@@ -71,6 +77,10 @@
     private final Set<Entrance> callers = new LinkedHashSet<>();
     private final TreeMap<String, Long> counts = new TreeMap<>();
     private final CountDownLatch ended = new CountDownLatch(1);
+    /** Where this instance itself listens. */
+    private InetSocketAddress listens;
+    private volatile List<InetSocketAddress> instances = List.of();
+    private Duties duties;
 
     private Instance(Installation installation, Loop loop, Folder folder) throws IOException {
         this.installation = installation;
@@ -100,9 +110,15 @@
         Loop loop = new Loop();
         try {
             Instance instance = new Instance(installation, loop, folder);
-            InetSocketAddress address = loop.listen(Installation.socket(installation.listen()), instance::room,
+            InetSocketAddress address = loop.listen(Toml.socket(installation.listen()), instance::room,
                     link -> loop.execute(() -> instance.new Entrance(link))).address();
-            loop.execute(instance::passTime);
+            loop.execute(() -> {
+                instance.listens = address;
+                instance.passTime();
+                instance.lookWhereAllAre();
+                instance.duties = new Duties(loop, installation.name(), installation.fleet(), instance.replica::record,
+                        () -> instance.instances, (what, many) -> instance.counts.merge(what, many, Long::sum), Identity.number());
+            });
             Runtime.getRuntime().addShutdownHook(new Thread(instance::end, "end"));
             LOG.info("listening", kv("address", address.getHostString() + ":" + address.getPort()));
         } catch (IOException e) {
@@ -143,6 +159,19 @@
         }
     }
 
+    /** For those of this instance that ask the record, wherever its leader is. */
+    private void lookWhereAllAre() {
+        List<InetSocketAddress> all = new ArrayList<>();
+        MemberId leader = replica.raft().leader();
+        for (Member member : replica.raft().members().all()) {
+            InetSocketAddress address = member.id().equals(identity.id()) ? listens
+                    : Toml.socket(installation.ways().getOrDefault(member.name(), member.address()));
+            all.add(member.id().equals(leader) ? 0 : all.size(), address);
+        }
+        instances = List.copyOf(all);
+        loop.after(LOOK_WHERE, this::lookWhereAllAre);
+    }
+
     // The disk.
 
     @Override
@@ -222,7 +251,7 @@
         }
         if (member != null) {
             String address = installation.ways().getOrDefault(member.name(), member.address());
-            if (Installation.isAddress(address)) {
+            if (Toml.isAddress(address)) {
                 ways.computeIfAbsent(to, none -> new Way(to)).send(address, message);
             }
         }
@@ -287,7 +316,7 @@
             waiting = 0;
             backedUpSince = now;
             notBefore = now + gap;
-            link = loop.connect(Installation.socket(address), this);
+            link = loop.connect(Toml.socket(address), this);
             Link dialled = link;
             loop.after(STUCK, () -> {
                 if (link == dialled && !welcome) {
@@ -358,11 +387,14 @@
 
     /** A connection that came in: of another instance, or of a caller. */
     final class Entrance implements Link.Events {
+        private static final int MOST_MISSED = 20;
         private final Link link;
         private final Frames frames = new Frames();
         private MemberId from;
         private String name = "";
         private String address = "";
+        private Nodes.NodeLink node;
+        private int backedUp;
         private final Set<Long> waiting = new LinkedHashSet<>();
 
         Entrance(Link link) {
@@ -383,7 +415,7 @@
         }
 
         private void piece(byte[] piece) {
-            if (link.closed()) {
+            if (link.closed() || duties == null) {
                 return;
             }
             try {
@@ -391,6 +423,7 @@
                     case Frames.HELLO -> greeted(Greeting.read(piece));
                     case Frames.MESSAGE -> message(piece);
                     case Frames.CALL -> Calls.take(Instance.this, this, piece);
+                    case Frames.NODE -> node(Words.read(piece));
                     default -> throw new Frames.Unreadable("a piece of kind " + piece[0]);
                 }
             } catch (Frames.Unreadable | Codec.Unreadable e) {
@@ -399,6 +432,40 @@
             }
         }
 
+        private void node(ObjectNode words) throws Frames.Unreadable {
+            if (node == null && words.path("kind").asText().equals("here")) {
+                callers.remove(this);
+                node = duties.nodes().greeted(this, words);
+            } else if (node != null) {
+                duties.nodes().heard(node, words);
+            } else {
+                throw new Frames.Unreadable("a node that has not said who it is");
+            }
+        }
+
+        /** Says something to a node. */
+        void tell(ObjectNode words) {
+            if (link.closed()) {
+                return;
+            }
+            if (link.backedUp() || !link.write(Words.piece(Frames.ORDER, words))) {
+                count("words to nodes dropped");
+                // What it misses it is told again, or it comes again.
+                backedUp++;
+                if (backedUp > MOST_MISSED) {
+                    close();
+                }
+            } else {
+                backedUp = 0;
+            }
+        }
+
+        /** Ends it, once what was written is out. */
+        void finish() {
+            callers.remove(this);
+            link.finish();
+        }
+
         private void greeted(Greeting greeting) {
             String no = refusal(greeting);
             if (no != null) {
@@ -455,7 +522,7 @@
 
         void answer(ObjectNode answer) {
             if (!link.closed()) {
-                link.write(Frames.piece(Frames.ANSWER, Calls.bytes(answer)));
+                link.write(Frames.piece(Frames.ANSWER, Words.bytes(answer)));
             }
         }
 
@@ -475,6 +542,9 @@
             if (from != null) {
                 entrances.remove(from, this);
             }
+            if (node != null) {
+                duties.nodes().gone(node);
+            }
             waiting.forEach(call -> {
                 calls.remove(call);
                 replica.forget(call);
@@ -557,7 +627,7 @@
             answer(call, new Answer.Refused(Answer.Reason.MEMBERS, why));
         };
         timer[0] = loop.after(2, () -> no.accept("nobody answers at " + address));
-        link[0] = loop.connect(Installation.socket(address), new Link.Events() {
+        link[0] = loop.connect(Toml.socket(address), new Link.Events() {
             @Override
             public void connected() {
                 link[0].write(Frames.piece(Frames.HELLO, Greeting.of(identity.group(), identity.id(), installation.name(),
@@ -623,25 +693,33 @@
 
     // The end.
 
-    /** At SIGTERM: hands over first, so that nobody waits for an election. */
+    /** At SIGTERM: hands over first, its duties and then the lead, so that nobody waits for it to be missed. */
     private void end() {
         loop.execute(() -> {
             LOG.info("ends", kv("counts", counts.toString()));
-            MemberId heir = replica.leads() ? replica.raft().bestHeir() : null;
-            if (heir == null) {
-                ended.countDown();
-                return;
-            }
-            replica.transfer(loop.now(), ++lastCall, heir);
-            awaitFollower(loop.now() + HAND_OVER);
+            awaitDutiesGivenBack(loop.now() + GIVE_BACK);
         });
         try {
-            ended.await((long) (1000 * (HAND_OVER + 1)), TimeUnit.MILLISECONDS);
+            ended.await((long) (1000 * (GIVE_BACK + HAND_OVER + 1)), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private void awaitDutiesGivenBack(double until) {
+        if (duties != null && !duties.leave() && loop.now() < until) {
+            loop.after(LOOK, () -> awaitDutiesGivenBack(until));
+            return;
+        }
+        MemberId heir = replica.leads() ? replica.raft().bestHeir() : null;
+        if (heir == null) {
+            ended.countDown();
+            return;
+        }
+        replica.transfer(loop.now(), ++lastCall, heir);
+        awaitFollower(loop.now() + HAND_OVER);
+    }
+
     private void awaitFollower(double until) {
         if (!replica.leads() || loop.now() > until) {
             LOG.info("ended", kv("led", replica.leads()));
--- a/hosted/src/main/java/embershift/hosted/Main.java
+++ b/hosted/src/main/java/embershift/hosted/Main.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import embershift.door.Toml;
 
 import java.io.IOException;
 import java.nio.file.Path;
@@ -22,7 +23,7 @@
         @Parameter(names = "--installation", description = "The file that tells of this instance", required = true)
         String installation;
 
-        Installation read() throws Installation.Unusable {
+        Installation read() throws Toml.Unusable {
             return Installation.read(Path.of(installation));
         }
     }
@@ -43,7 +44,7 @@
     }
 
     /** The exit status; negative: the program goes on by itself. */
-    private static int run(String[] args) {
+    public static int run(String[] args) {
         Instances instances = new Instances();
         Check check = new Check();
         FleetCommands fleet = new FleetCommands();
@@ -64,7 +65,7 @@
                 return 0;
             }
             throw new ParameterException("instance, check or fleet is wanted");
-        } catch (ParameterException | Installation.Unusable e) {
+        } catch (ParameterException | Toml.Unusable e) {
             System.err.println(e.getMessage().lines().findFirst().orElse(""));
             return USAGE;
         } catch (IOException e) {
--- a/hosted/src/main/java/embershift/hosted/RecordClient.java
+++ b/hosted/src/main/java/embershift/hosted/RecordClient.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import embershift.door.Frames;
+import embershift.door.Words;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -11,6 +13,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 
 /**
  * Asks the instances, one after the other until one can answer, within a time. Waits for answers: not for a loop. One thread
@@ -22,7 +25,7 @@
     private static final double ONE = 0.7;
     private static final double AGAIN = 0.03;
 
-    private final List<InetSocketAddress> addresses;
+    private final Supplier<List<InetSocketAddress>> addresses;
     private final String name;
     private int at;
     private Socket socket;
@@ -52,7 +55,12 @@
     }
 
     public RecordClient(List<InetSocketAddress> addresses, String name) {
-        this.addresses = List.copyOf(addresses);
+        this(() -> addresses, name);
+    }
+
+    /** {@code addresses}: where the instances are now; asked from the thread that asks. */
+    public RecordClient(Supplier<List<InetSocketAddress>> addresses, String name) {
+        this.addresses = addresses;
         this.name = name;
     }
 
@@ -144,7 +152,7 @@
 
     private void next() {
         close();
-        at = (at + 1) % addresses.size();
+        at++;
     }
 
     /** Nothing of the call has left this program. */
@@ -160,20 +168,25 @@
     /** Asks the instance whose turn it is. */
     private ObjectNode once(ObjectNode call, long until) throws IOException {
         if (socket == null) {
+            List<InetSocketAddress> known = addresses.get();
+            if (known.isEmpty()) {
+                throw new NotSent("no instance is known");
+            }
+            InetSocketAddress address = known.get(at % known.size());
             Socket fresh = new Socket();
             try {
-                fresh.connect(addresses.get(at), left(until));
+                fresh.connect(address, left(until));
                 fresh.setTcpNoDelay(true);
             } catch (IOException e) {
                 fresh.close();
-                throw new NotSent("nobody is at " + addresses.get(at));
+                throw new NotSent("nobody is at " + address);
             }
             socket = fresh;
             frames = new Frames();
         }
         long id = ++calls;
         call.put("id", id).put("version", 1);
-        ByteBuffer piece = Frames.piece(Frames.CALL, Calls.bytes(call));
+        ByteBuffer piece = Frames.piece(Frames.CALL, Words.bytes(call));
         socket.getOutputStream().write(piece.array(), 0, piece.remaining());
         InputStream in = socket.getInputStream();
         List<byte[]> pieces = new ArrayList<>();
@@ -201,7 +214,7 @@
 
     private static ObjectNode answer(byte[] piece) throws IOException {
         try {
-            return Calls.read(piece);
+            return Words.read(piece);
         } catch (Frames.Unreadable e) {
             throw new IOException(e.getMessage());
         }
--- a/hosted/src/test/java/embershift/hosted/InputTest.java
+++ b/hosted/src/test/java/embershift/hosted/InputTest.java
@@ -6,6 +6,8 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import embershift.door.Frames;
+import embershift.door.Toml;
 import embershift.raft.MemberId;
 import org.testng.annotations.Test;
 
@@ -27,10 +29,10 @@
             {"address = \"nowhere\"\n", "address"}, {"[ways]\ni2 = \"h:70000\"\n", "65535"}, {"name = \"i2\"\n", "Duplicate"},
             {"[bounds]\nwaiting-bytes = 8192\n", "waiting-bytes"}, {"listen", ""}};
         for (String[] each : wrong) {
-            String message = expectThrows(Installation.Unusable.class, () -> Installation.read(LEAST + each[0], "x")).getMessage();
+            String message = expectThrows(Toml.Unusable.class, () -> Installation.read(LEAST + each[0], "x")).getMessage();
             assertTrue(message.startsWith("x:") && message.contains(each[1]) && !message.contains("\n"), message);
         }
-        assertThrows(Installation.Unusable.class, () -> Installation.read("name = \"i1\"\n", "x"));
+        assertThrows(Toml.Unusable.class, () -> Installation.read("name = \"i1\"\n", "x"));
     }
 
     @Test
@@ -78,6 +80,6 @@
         }
         assertEquals(Greeting.common(1, 3), 1);
         assertEquals(Greeting.common(2, 3), 0);
-        assertFalse(Installation.isAddress("h:99999") || Installation.isAddress("h") || !Installation.isAddress("h:80"));
+        assertFalse(Toml.isAddress("h:99999") || Toml.isAddress("h") || !Toml.isAddress("h:80"));
     }
 }
--- a/node/src/main/java/embershift/operations/Bans.java
+++ b/node/src/main/java/embershift/operations/Bans.java
@@ -5,8 +5,10 @@
 import embershift.transport.Loop;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -43,6 +45,8 @@
     private final Set<HostId> out = new LinkedHashSet<>();
     /** Bans that hold here only, as they could not be kept. */
     private final Set<HostId> notKept = new LinkedHashSet<>();
+    /** Hosts that others than this node's operators have out, by who that is. */
+    private final Map<String, Set<HostId>> others = new HashMap<>();
     /** Changes asked for here: what was read before the latest of them is out of date. */
     private long changes;
 
@@ -86,7 +90,31 @@
         } else {
             out.remove(host);
         }
-        router.byHand(host, banned, done);
+        router.byHand(host, holds(host), done);
+    }
+
+    /** Whether the host is out by hand, whoever said so. */
+    public boolean holds(HostId host) {
+        return out.contains(host) || others.values().stream().anyMatch(some -> some.contains(host));
+    }
+
+    /** From now on these are the hosts that {@code whose} has out; what others say of a host stays. */
+    public void by(String whose, Collection<HostId> hosts) {
+        Set<HostId> touched = new LinkedHashSet<>(hosts);
+        touched.addAll(others.getOrDefault(whose, Set.of()));
+        Map<HostId, Boolean> before = new HashMap<>();
+        touched.forEach(host -> before.put(host, holds(host)));
+        others.put(whose, new LinkedHashSet<>(hosts));
+        for (HostId host : touched) {
+            if (holds(host) != before.get(host)) {
+                router.byHand(host, holds(host), () -> { });
+            }
+        }
+    }
+
+    /** The hosts that {@code whose} has out. */
+    public Set<HostId> of(String whose) {
+        return Set.copyOf(others.getOrDefault(whose, Set.of()));
     }
 
     /** Goes by what is kept now, as the other process may have been told something. */
--- a/node/src/main/java/embershift/operations/Desk.java
+++ b/node/src/main/java/embershift/operations/Desk.java
@@ -64,7 +64,7 @@
         }
         bans.change(host, out, end -> answer.accept(end == Bans.End.TOO_LATE
                 ? HttpAnswer.error(503, "this process stood still in the middle of it: look which hosts are out, call again")
-                : HttpAnswer.of(200, "{\"host\":" + Json.quoted(host.name()) + ",\"out\":" + out + ",\"kept\":"
+                : HttpAnswer.of(200, "{\"host\":" + Json.quoted(host.name()) + ",\"out\":" + bans.holds(host) + ",\"kept\":"
                 + (end == Bans.End.KEPT) + "}")));
     }
 
--- a/node/src/main/java/embershift/operations/Stillness.java
+++ b/node/src/main/java/embershift/operations/Stillness.java
@@ -10,29 +10,31 @@
     static final double OWED = 1.0;
     /** Seconds between two beats, so that a gap is told from the loop's usual turns. */
     static final double BEAT = 0.1;
-    /** Seconds after a gap in which the loop reads what had piled up. */
-    static final double CATCHING_UP = 0.3;
+    /** Beats after a gap in which the loop reads what had piled up; those that are late themselves don't count. */
+    private static final int CATCHING_UP = 3;
     /** A gap that, with the longest time between two beats, could hold a caller's whole patience. */
     private static final double GAP = OWED - BEAT;
 
     private double beat;
-    private double caughtUp;
+    private int beatsToGo;
 
     Stillness(double now) {
         beat = now;
-        caughtUp = now;
     }
 
     /** To be told each {@code BEAT} seconds while the process runs. */
     void beat(double now) {
         if (now - beat > GAP) {
-            caughtUp = now + CATCHING_UP;
+            beatsToGo = CATCHING_UP;
+        } else if (beatsToGo > 0 && now - beat <= 2 * BEAT) {
+            // A fixed time would be over before one who gets little of the processor has read anything.
+            beatsToGo--;
         }
         beat = now;
     }
 
     /** Whether what is read now may have come longer ago than its sender waits. */
     boolean mayHaveWaited(double now) {
-        return now - beat > GAP || now < caughtUp;
+        return now - beat > GAP || beatsToGo > 0;
     }
 }
--- a/node/src/main/java/embershift/program/Service.java
+++ b/node/src/main/java/embershift/program/Service.java
@@ -21,7 +21,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** A node from its start to its exit. */
-final class Service {
+public final class Service {
 
     /** The phases, in their order; each is entered once, on the loop's thread. */
     enum Phase { STARTING, SERVING, LEAVING, CLOSING, STOPPED }
@@ -37,13 +37,16 @@
     private static final double LAST_WORDS = 0.1;
 
     /** Where the configuration is read, at the start and whenever it has been replaced. */
-    interface Source {
+    public interface Source {
         NodeConfiguration read() throws Unreadable;
     }
 
     private final Source source;
     private final Log log;
     private final NodeConfiguration configuration;
+    /** Null on the platform. */
+    private final Companion companion;
+    private NodeConfiguration latest;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private Phase phase = Phase.STARTING;
     private Loop loop;
@@ -55,9 +58,20 @@
     private volatile Neighbours neighbours;
 
     Service(Source source, Log log) throws Unreadable {
+        this(source, log, null);
+    }
+
+    private Service(Source source, Log log, Companion companion) throws Unreadable {
         this.source = source;
         this.log = log;
+        this.companion = companion;
         configuration = source.read();
+        latest = configuration;
+    }
+
+    /** Starts a node with a companion; it then lives on its loop. Returns where it listens; fails where it can't. */
+    public static InetSocketAddress start(Source source, Companion companion) throws IOException, Unreadable {
+        return new Service(source, new Log(System.err), companion).start();
     }
 
     /** Listens, and returns where; the node then lives on its loop. Fails where it can't listen. */
@@ -85,6 +99,9 @@
             if (configuration.operated()) {
                 listenForOperators();
             }
+            if (companion != null) {
+                accompany();
+            }
             InetSocketAddress address = router.listen(configuration.listen());
             if (neighbours != null) {
                 // Before the yes: at that the other process may be told to leave, and must see who is here.
@@ -101,11 +118,56 @@
         }
     }
 
+    private void accompany() {
+        Bans known = bans == null ? new Bans(loop, router, null) : bans;
+        companion.begin(new Companion.Node() {
+            @Override
+            public Loop loop() {
+                return loop;
+            }
+
+            @Override
+            public Router router() {
+                return router;
+            }
+
+            @Override
+            public Bans bans() {
+                return known;
+            }
+
+            @Override
+            public NodeConfiguration configuration() {
+                return latest;
+            }
+
+            @Override
+            public boolean serving() {
+                return phase == Phase.SERVING;
+            }
+
+            @Override
+            public void log(String line) {
+                log.line(line);
+            }
+
+            @Override
+            public void end(int status) {
+                // The end waits for this loop: not on it.
+                new Thread(() -> System.exit(status), "end").start();
+            }
+        });
+    }
+
+    private boolean ready() {
+        return phase == Phase.SERVING && (companion == null || companion.ready());
+    }
+
     /** First of all: while the node starts, operators hear a no, not nothing. */
     private void listenForOperators() throws IOException {
         neighbours = Neighbours.in(System.getenv("TMPDIR"), Addresses.written(configuration.listen()), log::line);
         bans = new Bans(loop, router, neighbours);
-        Desk desk = new Desk(router, bans, () -> phase == Phase.SERVING);
+        Desk desk = new Desk(router, bans, this::ready);
         InetSocketAddress address = new Callers(loop, desk, router.tally(), router::mostDescriptors)
                 .listen(configuration.management());
         log.line("operators call " + Addresses.written(address));
@@ -155,7 +217,8 @@
 
     private void goBy(NodeConfiguration next) {
         router.tally().count("configurations taken");
-        router.reconfigure(next);
+        latest = next;
+        router.reconfigure(companion == null ? next : companion.adapt(next));
         List<String> fixed = configuration.fixedChanges(next);
         log.line("configuration taken, discovery at " + Addresses.written(next.discovery())
                 + (fixed.isEmpty() ? "" : "; only after a restart: " + String.join(", ", fixed)));
@@ -191,6 +254,9 @@
             leavingSince = loop.now();
             leastStay = replaced ? 0 : LEAST_STAY;
             router.leave(replaced);
+            if (companion != null) {
+                companion.leaves();
+            }
             lookWhetherEmpty();
         }
     }
--- a/node/src/main/java/embershift/protocol/NodeConfiguration.java
+++ b/node/src/main/java/embershift/protocol/NodeConfiguration.java
@@ -39,6 +39,13 @@
                 DeploymentReader.ofJson(all.value("settings")).read(seed(all.text("seed"))));
     }
 
+    /** This one with what the orders of the fleet say in place of its own; null for what they leave alone. */
+    public NodeConfiguration with(InetSocketAddress otherDiscovery, Integer otherSockets, List<InetSocketAddress> otherPeers) {
+        return new NodeConfiguration(name, listen, otherDiscovery == null ? discovery : otherDiscovery,
+                otherSockets == null ? sockets : otherSockets, management, peerListen, otherPeers == null ? peers : otherPeers,
+                otherPeers == null ? peersAll : null, known, settings, deployment);
+    }
+
     /** Whether operators have an address; a second process may then listen beside this one. */
     public boolean operated() {
         return management != null;
--- a/node/src/main/java/embershift/routing/Contact.java
+++ b/node/src/main/java/embershift/routing/Contact.java
@@ -18,6 +18,8 @@
     private static final ByteBuffer QUESTION = Line.of("STATS").asReadOnlyBuffer();
 
     final HostId host;
+    /** Setups sent there since this node's start. */
+    long setUps;
     private final Router router;
     private InetSocketAddress address;
     private Link link;
--- a/node/src/main/java/embershift/routing/Peers.java
+++ b/node/src/main/java/embershift/routing/Peers.java
@@ -44,6 +44,10 @@
         }
     }
 
+    List<InetSocketAddress> addresses() {
+        return addresses;
+    }
+
     InetSocketAddress address() {
         return socket == null ? null : socket.address();
     }
--- a/node/src/main/java/embershift/routing/Roster.java
+++ b/node/src/main/java/embershift/routing/Roster.java
@@ -41,6 +41,8 @@
     private boolean wholeWanted;
     private boolean usedBefore;
     private boolean byItself;
+    /** Lists come from elsewhere: discovery is not asked. */
+    private boolean led;
     private double again = LEAST_AGAIN;
 
     Roster(Router router, InetSocketAddress address) {
@@ -72,18 +74,48 @@
         watch(true);
     }
 
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Lists come from elsewhere from now on, or do no more: then discovery is asked again, for all of it. */
+    void led(boolean on) {
+        led = on;
+        if (on) {
+            hangUp();
+            calling = false;
+            wholeWanted = false;
+            if (timer != null) {
+                timer.cancel();
+            }
+            if (pause != null) {
+                pause.cancel();
+                pause = null;
+            }
+        } else {
+            generation = -1;
+            if (watching || byItself) {
+                watch(true);
+            }
+        }
+    }
+
     void known(long generation) {
         this.generation = generation;
     }
 
     void watch(boolean on) {
         watching = on;
-        if (on && !calling) {
+        if (on && !calling && !led) {
             call();
         }
     }
 
     void ask() {
+        if (led) {
+            router.listedElsewhere();
+            return;
+        }
         wholeWanted = true;
         if (!calling) {
             call();
@@ -166,7 +198,7 @@
             wholeWanted = false;
             again = LEAST_AGAIN;
             generation = page.generation();
-            router.listed(page);
+            router.discoverySaid(page);
         } catch (Unreadable e) {
             calling = true;
             failed(e.getMessage());
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -69,6 +69,7 @@
     private final Ageing<Passage> endings = new Ageing<>(ENDING);
     private final Roster roster;
     private final Peers peers;
+    private Lists lists;
     private final double connectTimeout;
     private final double slowMessage;
     private List<Consumer<News>> arrivals = new ArrayList<>();
@@ -113,6 +114,58 @@
         sweep();
     }
 
+    /** Lists of hosts that come from elsewhere than discovery. */
+    public interface Lists {
+
+        /** Discovery has said something itself, of this generation. */
+        void discoverySaid(long generation);
+
+        /** The whole list, as it was told last. */
+        RosterPage whole();
+    }
+
+    /** Who may tell lists from now on, once {@link #led} says that they hold. */
+    public void lists(Lists others) {
+        lists = others;
+    }
+
+    /** Whether lists come from elsewhere now, and discovery is not asked. */
+    public void led(boolean on) {
+        roster.led(on);
+    }
+
+    /** The module wants the whole list. */
+    void listedElsewhere() {
+        // After the round in which it asked.
+        loop.execute(() -> listed(lists.whole()));
+    }
+
+    void discoverySaid(RosterPage page) {
+        if (lists != null) {
+            lists.discoverySaid(page.generation());
+        }
+        listed(page);
+    }
+
+    /** Where discovery is asked, and how many descriptors may be held, as this node goes by it. */
+    public InetSocketAddress discovery() {
+        return roster.address();
+    }
+
+    public int descriptors() {
+        return descriptors;
+    }
+
+    public List<InetSocketAddress> peers() {
+        return peers.addresses();
+    }
+
+    /** Setups sent to that host since this node's start. */
+    public long setUps(HostId host) {
+        Contact contact = contacts.get(host);
+        return contact == null ? 0 : contact.setUps;
+    }
+
     private void accepted(Link link) {
         tally.count("connections taken in");
         strangers.begin(new Passage(this, link));
@@ -395,7 +448,8 @@
         passages.remove(passage.opening().id());
     }
 
-    void listed(RosterPage page) {
+    /** A list of hosts, or what is new in one. */
+    public void listed(RosterPage page) {
         tally.add("roster entries unreadable", page.unreadable());
         addresses(page);
         hear(page.whole() ? news -> news.rosterListed(page.listings(), false)
@@ -430,6 +484,7 @@
     public void setUp(TunnelId id, HostId host, double timeOut) {
         Passage passage = passages.get(id);
         if (passage != null) {
+            contact(host).setUps++;
             passage.setUp(contact(host), timeOut);
         }
     }
--- a/node/src/test/java/embershift/operations/OperatorsTest.java
+++ b/node/src/test/java/embershift/operations/OperatorsTest.java
@@ -150,7 +150,8 @@
     @Test
     public void crowdWithoutAWholeCallKeepsNoSoundCallerOutNorAnyClient() throws Exception {
         ServerSocket host = listening();
-        start(1024, host);
+        // Beyond what this process holds already: tests before may have left it some.
+        start(on(loop::descriptors) + 1024, host);
         Socket first = talk(operators, "");
         for (int i = 0; i < 100; i++) {
             talk(operators, i % 2 == 0 ? "" : "GET /api/re");
--- a/rig/src/main/java/embershift/rig/process/Instances.java
+++ b/rig/src/main/java/embershift/rig/process/Instances.java
@@ -64,7 +64,7 @@
         relays.put(new Ways.Way(from, to), new Relay(ways, from, to, () -> listen(to)));
     }
 
-    private synchronized InetSocketAddress listen(String name) {
+    synchronized InetSocketAddress listen(String name) {
         return listens.get(name);
     }
 
--- a/rig/src/main/java/embershift/rig/process/OwnerStand.java
+++ b/rig/src/main/java/embershift/rig/process/OwnerStand.java
@@ -1,16 +1,12 @@
 package embershift.rig.process;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import embershift.fleet.Answer;
 import embershift.fleet.Command;
-import embershift.fleet.Condition;
 import embershift.fleet.DutyId;
 import embershift.fleet.Fence;
 import embershift.fleet.Owner;
 import embershift.fleet.Plan;
 import embershift.fleet.SessionId;
-import embershift.fleet.Write;
+import embershift.hosted.RecordCaller;
 import embershift.hosted.RecordClient;
 
 import java.io.BufferedReader;
@@ -20,7 +16,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -38,11 +33,9 @@
     private static final int TICK_MS = 20;
 
     private final ScheduledExecutorService deciding = Executors.newSingleThreadScheduledExecutor();
-    private final ExecutorService commands = Executors.newSingleThreadExecutor();
-    private final ExecutorService words = Executors.newSingleThreadExecutor();
     private final ExecutorService orders = Executors.newCachedThreadPool();
-    private final RecordClient forCommands;
-    private final RecordClient forWords;
+    private final RecordCaller commands;
+    private final RecordCaller words;
     private final List<InetSocketAddress> receivers;
     private final String name;
     private final Owner owner;
@@ -51,8 +44,8 @@
                        List<InetSocketAddress> receivers) {
         this.name = name;
         this.receivers = receivers;
-        forCommands = new RecordClient(instances, name);
-        forWords = new RecordClient(instances, name);
+        commands = new RecordCaller(() -> instances, name, this::heard);
+        words = new RecordCaller(() -> instances, name, this::heard);
         owner = new Owner(name, duty, new Plan("plan", steps, LONGEST), TERMS, this);
     }
 
@@ -83,63 +76,26 @@
 
     @Override
     public void ask(Command command) {
-        commands.execute(() -> {
-            RecordClient.Outcome outcome = forCommands.ask(json(command), CALL);
-            Answer answer = outcome.done() ? new Answer.Done(outcome.answer().path("number").asLong())
-                    : outcome.unknown() ? new Answer.Unknown(outcome.text())
-                    : new Answer.Refused(reason(outcome.reason()), outcome.text());
-            heard(() -> owner.answered(now(), command, answer));
-        });
-    }
-
-    private static Answer.Reason reason(String written) {
-        try {
-            return Answer.Reason.valueOf(written.toUpperCase(Locale.ROOT).replace('-', '_'));
-        } catch (IllegalArgumentException e) {
-            return Answer.Reason.BUSY;
-        }
-    }
-
-    private static ObjectNode json(Command command) {
-        if (command instanceof Command.Open open) {
-            return RecordClient.call("open").put("client", open.client()).put("seconds", open.seconds());
-        }
-        if (command instanceof Command.End end) {
-            return RecordClient.call("end").put("session", end.session().number());
-        }
-        Command.Change change = (Command.Change) command;
-        ObjectNode call = RecordClient.call("change").put("session", change.session().number()).put("number", change.number())
-                .put("open", change.open());
-        ArrayNode conditions = call.putArray("conditions");
-        for (Condition condition : change.conditions()) {
-            conditions.addObject().put("key", condition.key()).put("revision", condition.revision());
-        }
-        ArrayNode writes = call.putArray("writes");
-        for (Write write : change.writes()) {
-            writes.addObject().put("key", write.key()).put("value", write.value()).put("bound", write.bound());
-        }
-        return call;
+        commands.ask(command, CALL, answer -> owner.answered(now(), command, answer));
     }
 
     @Override
     public void renew(SessionId session, double asked) {
-        words.execute(() -> {
-            RecordClient.Outcome outcome = forWords.ask(RecordClient.call("renew").put("session", session.number()), CALL);
+        words.ask(RecordClient.call("renew").put("session", session.number()), CALL, outcome -> {
             if (outcome.done()) {
-                heard(() -> owner.renewed(now(), asked));
+                owner.renewed(now(), asked);
             } else if (outcome.reason().equals("no-session")) {
-                heard(() -> owner.sessionOver(now()));
+                owner.sessionOver(now());
             }
         });
     }
 
     @Override
     public void look(DutyId duty) {
-        words.execute(() -> {
-            RecordClient.Outcome outcome = forWords.ask(RecordClient.call("get").put("key", duty.progressKey()), CALL);
+        words.ask(RecordClient.call("get").put("key", duty.progressKey()), CALL, outcome -> {
             if (outcome.done()) {
                 var item = outcome.answer().path("items").path(0);
-                heard(() -> owner.found(now(), item.isMissingNode() ? null : item.path("value").asText()));
+                owner.found(now(), item.isMissingNode() ? null : item.path("value").asText());
             }
         });
     }
--- a/rig/src/test/java/embershift/rig/WorldsTest.java
+++ b/rig/src/test/java/embershift/rig/WorldsTest.java
@@ -11,9 +11,11 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import java.lang.reflect.Method;
 import java.net.URLClassLoader;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 
 /** Simulated worlds: nothing breaks in them, and known mistakes do not get through. */
 public class WorldsTest {
@@ -50,6 +52,27 @@
         assertEquals(World.play(5), once);
     }
 
+    /** Where a mistake was seen to show: looked at first, as a search takes long. After a change of the code it may not be there. */
+    private static final Map<String, Long> SHOWN = Map.ofEntries(
+            Map.entry("vote not persisted", 1868L),
+            Map.entry("term not persisted", 137L),
+            Map.entry("entry of an earlier term agreed by count", 630L),
+            Map.entry("promise before it is on disk", 657L),
+            Map.entry("leader counts what it has not on disk", 1627L),
+            Map.entry("read before anything of the term is agreed", 588L),
+            Map.entry("vote for a log that is behind", 626L),
+            Map.entry("member in doubt votes", 1782L),
+            Map.entry("two votes in a term", 1813L),
+            Map.entry("conflict not cut", 876L),
+            Map.entry("acknowledges its whole log", 896L),
+            Map.entry("half is a majority", 1813L),
+            Map.entry("snapshot over a log that differs", 1702L),
+            Map.entry("not forced", 626L),
+            Map.entry("vote lost with the oldest file", 137L),
+            Map.entry("snapshot that forgets sessions", 251L),
+            Map.entry("command carried out again", 1813L),
+            Map.entry("torn write not cut", 876L));
+
     private static Path source(String module, String name) {
         return Path.of("..", module, "src/main/java/embershift", module, name + ".java");
     }
@@ -106,8 +129,9 @@
     public void knownMistakeShows(String name, String where, String from, String to) throws Exception {
         String[] parts = where.split("/");
         try (Mutation mutation = new Mutation(source(parts[0], parts[1]), from, to); URLClassLoader loader = mutation.loader()) {
-            Object broken = loader.loadClass("embershift.rig.world.Worlds").getMethod("firstBroken", long.class, long.class)
-                    .invoke(null, 1, LOOK);
+            Method firstBroken = loader.loadClass("embershift.rig.world.Worlds").getMethod("firstBroken", long.class, long.class);
+            Object broken = SHOWN.containsKey(name) ? firstBroken.invoke(null, SHOWN.get(name), 1) : null;
+            broken = broken == null ? firstBroken.invoke(null, 1, LOOK) : broken;
             assertNotNull(broken, name + ": not seen in " + LOOK + " worlds");
             System.out.println(name + ": " + broken.toString().substring(0, Math.min(110, broken.toString().length())));
         }
