--- a/fleet/src/main/java/embershift/fleet/Audit.java
+++ b/fleet/src/main/java/embershift/fleet/Audit.java
@@ -86,6 +86,9 @@
                 if (entry.at().compareTo(last) <= 0) {
                     problems.add(where + "entry " + entry.number() + " is earlier than the one before");
                 }
+                if (entry.number() != segment.from() + segment.entries().indexOf(entry)) {
+                    problems.add(where + "entry " + entry.number() + " is not where it belongs");
+                }
                 last = entry.at();
             }
             before = segment;
--- a/fleet/src/main/java/embershift/fleet/Release.java
+++ b/fleet/src/main/java/embershift/fleet/Release.java
@@ -60,6 +60,8 @@
         private double since;
         private double asked = Double.NEGATIVE_INFINITY;
         private boolean called;
+        /** An owner before this one may have called for it. */
+        private boolean perhaps;
         private boolean voided;
         private Managed managed = Managed.NEVER;
         private double servesSince = Double.NaN;
@@ -81,14 +83,21 @@
     private String waitsFor = "";
     private Set<String> out = Set.of();
 
-    /** {@code now}: when this owner began the step, or took it over. */
-    public Release(double now, ReleasePlan plan, int step, View view, Hands hands) {
+    /**
+     * {@code now}: when this owner began the step; {@code takenOver}: an owner before may have begun it, and calls of that one may still
+     * come: each part is out, and counts as away, until whoever is called has said what became of it.
+     */
+    public Release(double now, ReleasePlan plan, int step, boolean takenOver, View view, Hands hands) {
         this.plan = plan;
         this.step = step;
         this.view = view;
         this.hands = hands;
         progressed = now;
-        plan.step(step).forEach(part -> works.put(part, new Work()));
+        plan.step(step).forEach(part -> {
+            Work work = new Work();
+            work.perhaps = takenOver;
+            works.put(part, work);
+        });
     }
 
     /** Operators' wish. */
@@ -128,8 +137,7 @@
         works.forEach((part, work) -> part(now, part, work));
         Set<String> wanted = new TreeSet<>();
         works.forEach((part, work) -> {
-            boolean away = work.phase == Phase.TAKING_OUT || work.phase == Phase.STARTING_ANEW || work.phase == Phase.WARMING;
-            if (!part.node() && away && Double.isNaN(work.servesSince)) {
+            if (!part.node() && away(work) && Double.isNaN(work.servesSince)) {
                 wanted.add(part.name());
             }
         });
@@ -204,11 +212,15 @@
         return part.toString();
     }
 
+    private static boolean away(Work work) {
+        return work.phase == Phase.WAITING ? work.perhaps : work.phase != Phase.BACK;
+    }
+
     /** All that is away: parts under way, nodes that can't be reached or are not ready. */
     private Set<String> away() {
         Set<String> away = new LinkedHashSet<>();
         works.forEach((part, work) -> {
-            if (work.phase != Phase.WAITING && work.phase != Phase.BACK) {
+            if (away(work)) {
                 away.add(key(part));
             }
         });
@@ -248,6 +260,12 @@
             makeVoid(now, part, work);
             return;
         }
+        Set<String> away = away();
+        if (!work.called && away.size() > plan.size()) {
+            // Since it was begun something else went away.
+            waitsFor = "away already: " + String.join(", ", away);
+            return;
+        }
         if (now - work.asked >= AGAIN) {
             work.asked = now;
             hands.startAnew(part, plan.id(step, part));
--- a/fleet/src/main/java/embershift/fleet/Rollout.java
+++ b/fleet/src/main/java/embershift/fleet/Rollout.java
@@ -46,7 +46,7 @@
         /** Tells a node a revision: whole for {@code base} 0, else what differs from that one. */
         void order(String node, Revision revision, long base);
 
-        /** Notes in the record how far it is, under this owner's fence. */
+        /** Notes in the record how far it is, under this owner's fence; {@link Rollout#noted} is owed once it is there. */
         void note(String text);
 
         /** No node below this revision may act for the fleet. */
@@ -92,6 +92,8 @@
     private List<String> first = List.of();
     private String why = "";
     private double stageSince;
+    /** Notes that the record may not have yet: what follows from them is not ordered before, as an owner after this one goes by them. */
+    private int notes;
     private boolean cutTold;
     private double now;
 
@@ -156,6 +158,11 @@
         nodes.remove(name);
     }
 
+    /** The record has what was to be noted longest ago. */
+    public void noted() {
+        notes--;
+    }
+
     // What nodes say.
 
     public void heard(double time, Report report) {
@@ -282,12 +289,17 @@
     /** Time has passed. To be called several times a second. */
     public void tick(double time) {
         now = time;
+        if (notes > 0) {
+            return;
+        }
         begin();
-        if (stage == Stage.FIRST) {
+        if (stage == Stage.FIRST && notes == 0) {
             lookAtFirst();
         }
-        orders();
-        raiseFloor();
+        if (notes == 0) {
+            orders();
+            raiseFloor();
+        }
     }
 
     private void begin() {
@@ -329,6 +341,7 @@
         if (next == Stage.ALL) {
             good = number;
         }
+        notes++;
         hands.note(number + " " + stage + " " + good + " " + (first.isEmpty() ? "-" : String.join(",", first))
                 + (why.isEmpty() ? "" : " " + why));
         hands.told("revision " + number + ": " + (next == Stage.FIRST ? "first on " + String.join(", ", first)
@@ -403,10 +416,10 @@
                 node.replaced = true;
                 hands.replace(name, why(name));
             }
-            if (node.tries >= 2 * terms.tries()) {
-                shutOut(name, node);
+            if (node.tries >= 2 * terms.tries() && shutOut(name, node)) {
                 continue;
             }
+            // One that may not be shut out is told on, however long it takes.
             if (inFlight >= terms.flight()) {
                 continue;
             }
@@ -433,19 +446,21 @@
         hands.order(name, wanted, byDifference ? node.report.revision() : 0);
     }
 
-    private void shutOut(String name, Node node) {
+    /** Whether it is, from now on; not where so many are already that it is for a person to say. */
+    private boolean shutOut(String name, Node node) {
         int most = Math.max(1, (int) (terms.share() * nodes.size()));
         if (outByDuty.size() >= most) {
             if (!cutTold) {
                 cutTold = true;
                 hands.told(name + " would be shut out, but " + outByDuty.size() + " are already: that is for a person");
             }
-            return;
+            return false;
         }
         String reason = why(name);
         out.put(name, node.report.incarnation());
         outByDuty.add(name);
         hands.shutOut(name, node.report.incarnation(), reason);
+        return true;
     }
 
     private void raiseFloor() {
--- a/hosted/src/main/java/embershift/hosted/Duty.java
+++ b/hosted/src/main/java/embershift/hosted/Duty.java
@@ -28,11 +28,14 @@
     private static final double CALL = 1.5;
     private static final double AGAIN = 0.2;
 
+    private record Writing(List<Write> some, Runnable done) {
+    }
+
     final Duties all;
     final DutyId id;
     private Owner owner;
     private Fence begun = Fence.NONE;
-    private final Deque<List<Write>> writes = new ArrayDeque<>();
+    private final Deque<Writing> writes = new ArrayDeque<>();
     private boolean writing;
     /** The order to hand it over that was followed already. */
     private long followed;
@@ -124,7 +127,12 @@
 
     /** Writes under this owner's fence, in this order; nothing of it is written once another was granted the duty. */
     final void write(List<Write> some) {
-        writes.add(some);
+        write(some, () -> { });
+    }
+
+    /** {@code done} runs once it is in the record, while this owner still has the duty. */
+    final void write(List<Write> some, Runnable done) {
+        writes.add(new Writing(some, done));
         writeNext();
     }
 
@@ -133,7 +141,7 @@
             return;
         }
         writing = true;
-        List<Write> some = writes.peek();
+        List<Write> some = writes.peek().some;
         Fence by = fence();
         all.commands().ask(RecordCaller.changes(List.of(new Condition(id.fenceKey(), by.number())), some), CALL, outcome -> {
             writing = false;
@@ -141,7 +149,7 @@
                 return;
             }
             if (outcome.done()) {
-                writes.poll();
+                writes.poll().done.run();
                 writeNext();
             } else if (outcome.reason().equals("condition")) {
                 owner.knows(now(), new Fence(by.number() + 1));
--- a/hosted/src/main/java/embershift/hosted/ReleaseDuty.java
+++ b/hosted/src/main/java/embershift/hosted/ReleaseDuty.java
@@ -42,6 +42,8 @@
     private final Map<String, Double> toldAt = new HashMap<>();
     private final Map<String, Deque<Count>> counts = new HashMap<>();
     private String state = "";
+    /** The step before was ended by this owner, under this fence: nobody can have begun the next. */
+    private boolean endedHere;
 
     ReleaseDuty(Duties all) {
         super(all, "release");
@@ -69,6 +71,7 @@
         toldAt.clear();
         out = Set.of();
         state = "";
+        endedHere = false;
     }
 
     @Override
@@ -81,7 +84,7 @@
     @Override
     public void act(DutyId duty, Plan whole, int number, Fence fence) {
         stepNumber = number;
-        step = new Release(now(), plan, number, this, this);
+        step = new Release(now(), plan, number, !endedHere, this, this);
     }
 
     @Override
@@ -92,9 +95,9 @@
             // Of a wish for an earlier release nothing holds.
             step.wish(now, wish == null || wish.revision() < planRevision ? "go" : wish.value().split(" ", 2)[0]);
             step.tick(now);
-            tellOut(now);
         }
         if (step != null) {
+            tellOut(now);
             String waits = step.waitsFor();
             state("step " + (stepNumber + 1) + " of " + plan.steps() + (waits.isEmpty() ? "" : ": " + waits));
         }
@@ -221,6 +224,7 @@
     @Override
     public void ended(boolean aborted) {
         step = null;
+        endedHere = true;
         state(aborted ? "aborted, step " + (stepNumber + 1) + " is at a sound end"
                 : stepNumber + 1 == plan.steps() ? "done" : "step " + (stepNumber + 1) + " is done");
         owner().acted(now(), stepNumber, fence(), Owner.Effect.DONE);
--- a/hosted/src/main/java/embershift/hosted/RolloutDuty.java
+++ b/hosted/src/main/java/embershift/hosted/RolloutDuty.java
@@ -238,7 +238,8 @@
 
     @Override
     public void note(String text) {
-        write(List.of(new Write(STAGE, text, false)));
+        Rollout mine = rollout;
+        write(List.of(new Write(STAGE, text, false)), mine::noted);
     }
 
     @Override
