A duty is claimed when the record shows it free, goes where it is wanted, and old losses are forgotten

Seen by the new measurement (rig measure-fleet): the fortieth change of owner, a hand-over by hand, did not come within 60 s. Checked: a single one takes 0.1 s, so not the hand-over itself. Cause: losses by kill and stop were counted for ever, and each makes its instance wait up to 30 s before it claims again, also where the duty was to come there; and instances without a duty asked for it four times a second, each a refused entry in the log, so that being slower to claim had no meaning.

Change: losses are forgotten by one that has had the duty for long; one that it is wanted at claims at once; others claim only when their own copy of the record shows nobody, after their reluctance; whoever comes in for one that does not come keeps it.

--- a/fleet/src/main/java/embershift/fleet/Owner.java
+++ b/fleet/src/main/java/embershift/fleet/Owner.java
@@ -59,10 +59,13 @@
     /** What is being noted, until it is known to be. */
     private Plan.Progress noting;
     private double progressed;
+    private double grantedAt;
+    /** How often it was lost; forgotten by one that has had it for long. */
     private int losses;
     /** Seconds by which this one is slower to claim than others: duties spread over those who have few. */
     private double reluctance;
     private boolean leaves;
+    private boolean taken;
 
     public Owner(String name, DutyId duty, Plan plan, Terms terms, Hands hands) {
         this.name = name;
@@ -115,6 +118,9 @@
             giveBack(now);
             return;
         }
+        if (working() && now - grantedAt > terms.longestPause()) {
+            losses = 0;
+        }
         if (now < next) {
             return;
         }
@@ -124,7 +130,7 @@
                 ask(now, new Command.Open(name, terms.session()));
             }
             case IDLE -> {
-                if (!leaves) {
+                if (!leaves && !taken) {
                     stage = Stage.CLAIMING;
                     ask(now, Grants.claim(session, ++number, duty, name));
                 }
@@ -183,6 +189,7 @@
                 tenure.granted(new Fence(result), asked);
                 renewedAt = Double.NEGATIVE_INFINITY;
                 progressed = now;
+                grantedAt = now;
                 progress = null;
                 stage = plan.standing() ? Stage.STANDING : Stage.LOOKING;
                 next = now;
@@ -243,6 +250,21 @@
         reluctance = seconds;
     }
 
+    /** Whether another is known to have it, as far as can be told here: a claim would be refused, and cost the record an entry. */
+    public void taken(double now, boolean byAnother) {
+        if (taken && !byAnother) {
+            next = Math.max(next, now + reluctance);
+        }
+        taken = byAnother;
+    }
+
+    /** It is to come here: it is claimed as soon as nobody has it, whatever was lost before. */
+    public void wanted(double now) {
+        if (stage == Stage.IDLE) {
+            next = Math.min(next, now);
+        }
+    }
+
     /** Gives the duty back at once, if it has it, and claims nothing more while it leaves. */
     public void leaves(double now, boolean on) {
         leaves = on;
--- a/hosted/src/main/java/embershift/hosted/Duty.java
+++ b/hosted/src/main/java/embershift/hosted/Duty.java
@@ -98,6 +98,10 @@
             owner.giveBack(now);
         }
         owner.reluctance(mine ? 0 : wanted != null ? reluctance + Duties.HANDED_OVER : reluctance);
+        owner.taken(now, all.record().get(id.ownerKey()) != null);
+        if (mine) {
+            owner.wanted(now);
+        }
         owner.tick(now);
         if (holds() && !begun.equals(owner.fence())) {
             finish();
@@ -106,6 +110,9 @@
             all.counted("duties begun");
             if (mine) {
                 write(List.of(new Write(wanted.key(), null, false)));
+            } else if (wanted != null) {
+                // The one that it is to go to has not come for it.
+                followed = wanted.revision();
             }
             begin();
         }
--- a/rig/src/main/java/embershift/rig/Main.java
+++ b/rig/src/main/java/embershift/rig/Main.java
@@ -4,10 +4,13 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import embershift.rig.process.FleetMeasure;
 import embershift.rig.process.Instances;
 import embershift.rig.process.Measure;
 import embershift.rig.process.Play;
 import embershift.rig.process.Schedule;
+import embershift.rig.world.FleetWorld;
+import embershift.rig.world.ReleaseWorld;
 import embershift.rig.world.Worlds;
 
 import java.io.IOException;
@@ -136,14 +139,57 @@
         }
     }
 
+    @Parameters(commandDescription = "Simulated fleets and releases: nodes, owners and whoever starts things anew, with faults between them")
+    private static final class Fleets implements Command {
+        @Parameter(names = "--worlds", description = "How many of each")
+        long worlds = 1000;
+
+        @Parameter(names = "--seed", description = "Of the first")
+        long seed = 1;
+
+        @Override
+        public int run() {
+            for (long from = seed; from < seed + worlds; from += 1000) {
+                long many = Math.min(1000, seed + worlds - from);
+                for (String broken : new String[] {FleetWorld.firstBroken(from, many), ReleaseWorld.firstBroken(from, many)}) {
+                    if (broken != null) {
+                        System.out.println(broken);
+                        return BROKEN;
+                    }
+                }
+                System.out.println((from + many - seed) + " of each, nothing broken");
+            }
+            return 0;
+        }
+    }
+
+    @Parameters(commandDescription = "The figures of docs/duties.md and docs/audit.md, on this machine")
+    private static final class FleetFigures implements Command {
+        @Parameter(names = "--nodes", description = "How many nodes, each a process")
+        int nodes = 10;
+
+        @Parameter(names = "--times", description = "How often each fault is tried")
+        int times = 10;
+
+        @Parameter(names = "--revisions", description = "How many revisions go round")
+        int revisions = 30;
+
+        @Override
+        public int run() throws IOException {
+            FleetMeasure.all(nodes, times, revisions);
+            return 0;
+        }
+    }
+
     public static void main(String[] args) {
         JCommander line = JCommander.newBuilder().programName("embershift-rig").addCommand("play", new PlayIt())
                 .addCommand("hunt", new Hunt()).addCommand("worlds", new Simulate())
-                .addCommand("measure", new Figures()).build();
+                .addCommand("measure", new Figures()).addCommand("fleets", new Fleets())
+                .addCommand("measure-fleet", new FleetFigures()).build();
         try {
             line.parse(args);
             if (line.getParsedCommand() == null) {
-                throw new ParameterException("play, hunt, worlds or measure is wanted");
+                throw new ParameterException("play, hunt, worlds, fleets, measure or measure-fleet is wanted");
             }
             Command command = (Command) line.getCommands().get(line.getParsedCommand()).getObjects().get(0);
             System.exit(command.run());
--- a/rig/src/main/java/embershift/rig/process/FleetSite.java
+++ b/rig/src/main/java/embershift/rig/process/FleetSite.java
@@ -63,8 +63,24 @@
                 at.add("\"127.0.0.1:" + relay.address().getPort() + "\"");
             }
             doors.put(name, Files.writeString(folder.resolve(name + ".door.toml"),
-                    "instances = [" + String.join(", ", at) + "]\nreport-s = 0.2\n" + door));
-            startNode(name);
+                    "instances = [" + String.join(", ", at) + "]\n" + (door.contains("report-s") ? "" : "report-s = 0.2\n") + door));
+        }
+        startNodes();
+    }
+
+    private void startNodes() throws IOException {
+        List<IOException> failed = new ArrayList<>();
+        doors.keySet().stream().sorted().toList().parallelStream().forEach(name -> {
+            try {
+                startNode(name);
+            } catch (IOException e) {
+                synchronized (failed) {
+                    failed.add(e);
+                }
+            }
+        });
+        if (!failed.isEmpty()) {
+            throw failed.get(0);
         }
     }
 
@@ -104,6 +120,10 @@
         }
     }
 
+    public List<String> nodeNames() {
+        return doors.keySet().stream().sorted().toList();
+    }
+
     public Program node(String name) {
         return nodes.get(name);
     }
@@ -228,6 +248,14 @@
         }
     }
 
+    /** Of the latest grant of a duty; "" for none. */
+    public String fence(String duty) {
+        try (RecordClient client = instances.client()) {
+            RecordClient.Outcome outcome = client.ask(RecordClient.call("get").put("key", "duty/" + duty + "/fence"), 5);
+            return outcome.done() ? outcome.answer().path("items").path(0).path("revision").asText() : "";
+        }
+    }
+
     public String awaitOwner(String duty, String but) throws IOException {
         String[] owner = new String[1];
         await("an owner of " + duty + (but == null ? "" : " that is not " + but), PATIENCE, () -> {
