--- a/door/src/main/java/embershift/door/Door.java
+++ b/door/src/main/java/embershift/door/Door.java
@@ -56,8 +56,8 @@
     private static final double AGAIN = 0.2;
     private static final double TRAIL_AGAIN = 2;
     /** Seconds between two counts of tunnels in the trail, where there were any, and in any case. */
-    private static final double COUNTS = 5;
-    private static final double COUNTS_IDLE = 30;
+    private static final double COUNTS = 15;
+    private static final double COUNTS_IDLE = 60;
     private static final DutyId LISTS = new DutyId("lists");
     private static final DutyId ROLLOUT = new DutyId("rollout");
     private static final DutyId RELEASE_DUTY = new DutyId(RELEASE);
--- a/fleet/src/main/java/embershift/fleet/Audit.java
+++ b/fleet/src/main/java/embershift/fleet/Audit.java
@@ -33,7 +33,8 @@
     public record Who(List<Spell> did, Map<String, String> mayHave, List<String> never) {
     }
 
-    private record Run(String node, long incarnation, List<Segment> segments) {
+    /** {@code begin}: what the trail began with before its oldest segments went, or null. */
+    private record Run(String node, long incarnation, List<Segment> segments, Folding.Begin begin) {
     }
 
     private final List<Run> runs = new ArrayList<>();
@@ -41,8 +42,11 @@
     private final List<Spell> spells = new ArrayList<>();
     private final List<String> problems = new ArrayList<>();
 
-    /** {@code registered}: the latest incarnation of each name that the record has. {@code texts}: segments, in the order of their keys. */
-    public Audit(Collection<String> texts, Map<String, Long> registered) {
+    /**
+     * {@code registered}: the latest incarnation of each name that the record has. {@code texts}: segments, in the order of their keys;
+     * {@code begins}: where trails begin whose oldest segments are not kept any more, by the record's keys.
+     */
+    public Audit(Collection<String> texts, Map<String, Long> registered, Map<String, String> begins) {
         this.registered = new TreeMap<>(registered);
         Map<String, TreeMap<Long, List<Segment>>> all = new TreeMap<>();
         for (String text : texts) {
@@ -56,7 +60,8 @@
         }
         all.forEach((node, byIncarnation) -> byIncarnation.forEach((incarnation, segments) -> {
             segments.sort((one, other) -> Long.compare(one.number(), other.number()));
-            runs.add(new Run(node, incarnation, segments));
+            runs.add(new Run(node, incarnation, segments,
+                    Folding.begin(begins.get(Folding.key(segments.get(0).key())))));
         }));
         for (int i = 0; i < runs.size(); i++) {
             Run after = i + 1 < runs.size() && runs.get(i + 1).node.equals(runs.get(i).node) ? runs.get(i + 1) : null;
@@ -69,19 +74,20 @@
         String where = run.node + ", incarnation " + run.incarnation + ": ";
         Segment before = null;
         for (Segment segment : run.segments) {
-            long expected = before == null ? 1 : before.to() + 1;
+            long expected = before != null ? before.to() + 1 : run.begin == null ? 1 : run.begin.entry() + 1;
             if (segment.from() > expected) {
                 problems.add(where + "entries " + expected + " to " + (segment.from() - 1) + " are missing");
             } else if (segment.from() < expected) {
                 problems.add(where + "entries " + segment.from() + " to " + (expected - 1) + " are told twice");
             }
-            if (before == null ? segment.number() == 1 && !segment.before().isEmpty()
-                    : segment.number() == before.number() + 1 && !segment.before().equals(before.sum())) {
+            long number = before != null ? before.number() + 1 : run.begin == null ? 1 : run.begin.segment() + 1;
+            String sum = before != null ? before.sum() : run.begin == null ? "" : run.begin.sum();
+            if (segment.number() == number && !segment.before().equals(sum)) {
                 problems.add(where + "segment " + segment.number() + " is not chained to the one before");
-            } else if (segment.number() != (before == null ? 1 : before.number() + 1)) {
+            } else if (segment.number() != number) {
                 problems.add(where + "segments before " + segment.number() + " are missing");
             }
-            Hybrid last = before == null ? Hybrid.START : before.entries().get(before.entries().size() - 1).at();
+            Hybrid last = before == null ? run.begin == null ? Hybrid.START : run.begin.at() : before.entries().get(before.entries().size() - 1).at();
             for (Trace entry : segment.entries()) {
                 if (entry.at().compareTo(last) <= 0) {
                     problems.add(where + "entry " + entry.number() + " is earlier than the one before");
@@ -96,11 +102,11 @@
     }
 
     private void spells(Run run, Run after) {
-        long revision = -1;
+        long revision = run.begin == null ? -1 : run.begin.revision();
         long[] tunnels = new long[3];
-        Hybrid from = null;
-        Hybrid last = null;
-        long number = 0;
+        Hybrid from = run.begin == null ? null : run.begin.at();
+        Hybrid last = from;
+        long number = run.begin == null ? 0 : run.begin.entry();
         boolean surely = true;
         boolean ended = false;
         for (Segment segment : run.segments) {
--- a/hosted/src/main/java/embershift/hosted/AuditCommand.java
+++ b/hosted/src/main/java/embershift/hosted/AuditCommand.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import embershift.fleet.Audit;
+import embershift.fleet.Folding;
 import embershift.fleet.Trace;
 
 import java.io.IOException;
@@ -59,16 +60,6 @@
         return Instant.ofEpochMilli(millis).toString();
     }
 
-    /** The trails, as the record has them now. */
-    static Audit read(RecordClient.Outcome trails, RecordClient.Outcome nodes) {
-        List<String> texts = new ArrayList<>();
-        trails.answer().path("items").forEach(item -> texts.add(item.path("value").asText()));
-        Map<String, Long> registered = new TreeMap<>();
-        nodes.answer().path("items").forEach(item -> registered.put(item.path("key").asText().substring(Nodes.NODE.length()),
-                item.path("revision").asLong()));
-        return new Audit(texts, registered);
-    }
-
     @Override
     RecordClient.Outcome run(RecordClient client) {
         String[] times = between.split(",");
@@ -77,11 +68,25 @@
         }
         long at = atTime.isEmpty() ? System.currentTimeMillis() : millis(atTime);
         RecordClient.Outcome nodes = list(client, Nodes.NODE);
-        RecordClient.Outcome trails = nodes.done() ? list(client, node.isEmpty() ? "trail/" : "trail/" + node + "/") : nodes;
-        if (!trails.done()) {
-            return trails;
+        RecordClient.Outcome folded = nodes.done() ? list(client, Folding.KEY) : nodes;
+        if (!folded.done()) {
+            return folded;
+        }
+        Map<String, Long> registered = new TreeMap<>();
+        nodes.answer().path("items").forEach(item -> registered.put(item.path("key").asText().substring(Nodes.NODE.length()),
+                item.path("revision").asLong()));
+        Map<String, String> begins = new TreeMap<>();
+        folded.answer().path("items").forEach(item -> begins.put(item.path("key").asText(), item.path("value").asText()));
+        List<String> texts = new ArrayList<>();
+        for (String each : node.isEmpty() ? registered.keySet() : List.of(node)) {
+            // One node's at a time: all of them would not go into one answer.
+            RecordClient.Outcome trail = list(client, "trail/" + each + "/");
+            if (!trail.done()) {
+                return trail;
+            }
+            trail.answer().path("items").forEach(item -> texts.add(item.path("value").asText()));
         }
-        Audit audit = read(trails, nodes);
+        Audit audit = new Audit(texts, registered, begins);
         ObjectNode answer = Calls.node();
         ArrayNode rows = answer.putArray("rows");
         if (verify) {
--- a/hosted/src/main/java/embershift/hosted/RolloutDuty.java
+++ b/hosted/src/main/java/embershift/hosted/RolloutDuty.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import embershift.door.Words;
+import embershift.fleet.Folding;
 import embershift.fleet.Item;
 import embershift.fleet.Plan;
+import embershift.fleet.Record;
 import embershift.fleet.Revision;
 import embershift.fleet.Rollout;
 import embershift.fleet.Write;
@@ -32,6 +34,7 @@
     private static final List<String> READ = List.of(REVISION, "rollout/", Nodes.NODE, Nodes.OUT);
     private static final double READ_WITHIN = 3;
     private static final double STATES = 0.5;
+    private static final double FOLD = 10;
     private static final int MOST_STATES = 200;
     /** Revisions that are kept, beside those that some node may still go by. */
     private static final int KEPT = 500;
@@ -42,6 +45,7 @@
     private final Map<String, Item> read = new TreeMap<>();
     private final Map<String, String> statesTold = new HashMap<>();
     private double statesAt;
+    private double foldedAt;
     private long seen = -1;
     private final Set<Long> known = new HashSet<>();
 
@@ -156,6 +160,10 @@
             statesAt = now;
             tellStates();
         }
+        if (now - foldedAt >= FOLD) {
+            foldedAt = now;
+            fold();
+        }
     }
 
     private void tellStates() {
@@ -184,6 +192,17 @@
         }
     }
 
+    /** Trails have half of the record at the most; a node's whole trail has to go into one answer. */
+    private void fold() {
+        Map<String, String> begins = new TreeMap<>();
+        all.record().beginning(Folding.KEY).forEach(item -> begins.put(item.key(), item.value()));
+        List<Write> writes = Folding.fold(all.record().beginning("trail/"), begins, Record.ALL / 2, Record.ALL / 16);
+        if (!writes.isEmpty()) {
+            all.counted("trails folded");
+            write(writes);
+        }
+    }
+
     @Override
     public void reported(Nodes.NodeLink link) {
         if (rollout != null) {
--- a/rig/src/main/java/embershift/rig/world/FleetWorld.java
+++ b/rig/src/main/java/embershift/rig/world/FleetWorld.java
@@ -5,16 +5,19 @@
 import embershift.fleet.Diary;
 import embershift.fleet.DutyId;
 import embershift.fleet.Fence;
+import embershift.fleet.Folding;
 import embershift.fleet.Gate;
 import embershift.fleet.HostsChange;
 import embershift.fleet.HostsHeld;
 import embershift.fleet.HostsTold;
 import embershift.fleet.Hybrid;
+import embershift.fleet.Item;
 import embershift.fleet.Revision;
 import embershift.fleet.RevisionHeld;
 import embershift.fleet.Rollout;
 import embershift.fleet.Segment;
 import embershift.fleet.Trace;
+import embershift.fleet.Write;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -45,6 +48,7 @@
     private static final double OLDEST = 2;
     private static final double SILENT = 1.5;
     private static final double REPORT = 0.2;
+    private static final long MOST_TRAILS = 20_000;
     private static final String POISON = "poison";
     private static final String CRASH = "crash";
     private static final Rollout.Terms TERMS = new Rollout.Terms(1, 4, 0.3, 3, 3, SILENT, 0.2, 0.8);
@@ -64,6 +68,8 @@
     private final TreeMap<String, Long> registered = new TreeMap<>();
     private final TreeMap<String, Long> out = new TreeMap<>();
     private final TreeMap<String, String> trails = new TreeMap<>();
+    private final TreeMap<String, Long> created = new TreeMap<>();
+    private final TreeMap<String, String> begins = new TreeMap<>();
     private long floor;
     private double trailsAwayUntil;
 
@@ -338,7 +344,9 @@
                 return;
             }
             time.in(late(), () -> {
-                String before = trails.putIfAbsent(segment.key(), segment.text());
+                String before = created.containsKey(segment.key()) && !trails.containsKey(segment.key()) ? segment.text()
+                        : trails.putIfAbsent(segment.key(), segment.text());
+                created.putIfAbsent(segment.key(), ++revisionOfRecord);
                 if (before != null && !before.equals(segment.text())) {
                     broken(segment.key() + " is told otherwise");
                 }
@@ -552,6 +560,7 @@
         }
         time.every(0.05, () -> List.copyOf(stations).forEach(Station::tick));
         time.every(1.1, this::discoveryChanges);
+        time.every(7, this::fold);
         time.every(2.3, this::revise);
         // After a halt it is for a person to go on.
         time.at(FAULTS + 38, this::reviseNow);
@@ -684,7 +693,8 @@
                 broken(node.name + " has not the list that discovery says");
             }
         }
-        Audit audit = new Audit(trails.values(), registered);
+        fold();
+        Audit audit = new Audit(trails.values(), registered, begins);
         long dropped = nodes.stream().mapToLong(node -> node.dropping.size()).sum();
         for (String problem : audit.verify()) {
             String incarnation = problem.replaceAll("(?s).*incarnation (\\d+):.*", "$1");
@@ -709,6 +719,23 @@
         }
     }
 
+    /** As the owner of the rollout does from time to time: the audit tells the same of what is left. */
+    private void fold() {
+        if (seed % 3 != 0) {
+            return;
+        }
+        List<Item> items = new ArrayList<>();
+        trails.forEach((key, text) -> items.add(new Item(key, text, created.get(key), created.get(key), null)));
+        for (Write write : Folding.fold(items, begins, MOST_TRAILS, MOST_TRAILS / 4)) {
+            count(write.value() == null ? "segments folded" : "begins noted");
+            if (write.value() == null) {
+                trails.remove(write.key());
+            } else {
+                begins.put(write.key(), write.value());
+            }
+        }
+    }
+
     private boolean hosts(Node node) {
         long behind = discovery.lastKey() - node.generation;
         return behind <= 3;
--- a/rig/src/test/java/embershift/rig/FleetWorldTest.java
+++ b/rig/src/test/java/embershift/rig/FleetWorldTest.java
@@ -31,7 +31,7 @@
         for (String what : List.of("orders OLD", "orders VOID", "orders UNSURE", "changes of owner", "nodes started anew",
                 "writes of an old owner refused", "revisions TAKEN", "revisions TAKEN whole", "revisions WHOLE", "revisions REFUSED",
                 "stage HALTED", "stage FIRST", "floors raised", "nodes that a revision ends", "lists BEHIND", "lists OLDER", "shut out", "nodes that go astray",
-                "gaps told", "spells told")) {
+                "gaps told", "spells told", "segments folded")) {
             assertTrue(reached.getOrDefault(what, 0L) >= 20, what + " in " + reached);
         }
     }
@@ -56,6 +56,7 @@
                 "boolean all = nodes.keySet().stream().allMatch(name -> state(name) == State.SHUT_OUT || state(name) == State.SILENT"},
             {"Diary", "if (out != null && out.number() == segment) {", "if (out != null) {"},
             {"Diary", "waiting.remove();\n            dropped++;", "waiting.remove();\n            dropped++;\n            entries--;"},
+            {"Folding", "new Begin(segment.number(), segment.to(),", "new Begin(segment.number(), segment.from(),"},
             {"Hybrid", "clock > millis ? new Hybrid(clock, 0)", "true ? new Hybrid(clock, 0)"},
             {"Audit", "if (entry.number() != number + 1) {", "if (false) {"},
         };
