A revision that no round went by is not told as acted on; fleets of processes under drawn faults

Need: the duties and the audit were shown by chosen cases only.

Found by its third seed: a trail with revision 9 whose content was that of revision 10. Seen in the node's log: it had stood still, and both came in one turn of its loop; ruled out: the record (its text of 9 is sound) and the difference (sums fit). Cause: what a node acts on is read back after the next round, and by then the next revision had been taken. Now such a one is not told: no round went by it.

Further: a node asks one instance for its incarnation, where three were asked and gave three; a node that is gone for good can be forgotten; an owner that hears no node gives its duties up after five session times. Cases: owner cut off from the nodes and not from the record, and the reverse; majority lost in the middle of a release; a node that may not be stale.

--- a/door/src/main/java/embershift/door/Door.java
+++ b/door/src/main/java/embershift/door/Door.java
@@ -79,6 +79,11 @@
     private Bans bans;
     private String name = "";
     private long incarnation;
+    /** The way on which an incarnation was asked for, until it is known. */
+    private InstanceLink registering;
+    /** The last revision that a round went by. */
+    private long actedOnNumber;
+    private SortedMap<String, String> actedOnFields = new TreeMap<>();
     private long floor;
     private boolean welcomed;
     private double startedAt;
@@ -403,8 +408,6 @@
 
     private void revision(Fence fence, ObjectNode order, ObjectNode verdict, Runnable answer) {
         long number = order.path("number").asLong();
-        long before = revision.number();
-        SortedMap<String, String> fieldsBefore = revision.fields();
         // Whatever has been answered until now was answered by the revision before.
         countTunnels(false);
         RevisionHeld.Taken taken = revision.take(number, order.path("base").asLong(), order.path("chain").asText(),
@@ -412,7 +415,7 @@
         verdict.put("end", taken.end().name()).put("why", taken.why());
         Map<String, String> fields = new TreeMap<>(Map.of(REVISION, String.valueOf(number), "fence", String.valueOf(fence.number())));
         if (taken.end() == RevisionHeld.End.REFUSED) {
-            node.log("revision " + number + " is refused, " + before + " stays: " + taken.why());
+            node.log("revision " + number + " is refused, " + revision.number() + " stays: " + taken.why());
             enter(Trace.Kind.REFUSED, fields, taken.why());
         }
         if (taken.end() != RevisionHeld.End.TAKEN) {
@@ -422,9 +425,16 @@
         }
         // Behind the round that takes it: from then on it is acted on.
         loop.execute(() -> {
-            fields.put("from", String.valueOf(before));
+            if (revision.number() != number) {
+                // The next one came in the same turn, as they do to one that stood still: no round ever went by this one.
+                answer.run();
+                return;
+            }
+            fields.put("from", String.valueOf(actedOnNumber));
             fields.put("content", Revision.content(actedOn()));
-            Set<HostId> was = outOf(fieldsBefore);
+            Set<HostId> was = outOf(actedOnFields);
+            actedOnNumber = number;
+            actedOnFields = revision.fields();
             Set<HostId> is = outOf(revision.fields());
             fields.putAll(traceOfOut(ROLLOUT, fence, was, is));
             enter(Trace.Kind.TOOK, fields, "");
@@ -511,6 +521,7 @@
         private Link link;
         private Frames frames;
         private boolean connected;
+        private boolean greeted;
         private boolean welcome;
         private double gap = FIRST_GAP;
         private double notBefore;
@@ -528,7 +539,7 @@
                 if (now >= notBefore) {
                     dial(now);
                 }
-            } else if (!welcome && now - dialledAt > STUCK || link.backedUp() && now - heard > STUCK) {
+            } else if (!welcome && (greeted || !connected) && now - dialledAt > STUCK || link.backedUp() && now - heard > STUCK) {
                 drop(now);
             }
         }
@@ -536,6 +547,7 @@
         private void dial(double now) {
             frames = new Frames();
             connected = false;
+            greeted = false;
             welcome = false;
             asked.clear();
             dialledAt = now;
@@ -549,6 +561,10 @@
                 link = null;
             }
             welcome = false;
+            if (registering == this) {
+                registering = null;
+                links.forEach(InstanceLink::greet);
+            }
             // Others lost theirs at the same time.
             gap = Math.min(LONGEST_GAP, 2 * gap);
             notBefore = now + gap * (0.5 + chance.nextDouble());
@@ -557,6 +573,19 @@
         @Override
         public void connected() {
             connected = true;
+            greet();
+        }
+
+        /** Only one instance is asked for an incarnation: two would give two. */
+        private void greet() {
+            if (greeted || !connected || link == null || incarnation == 0 && registering != null && registering != this) {
+                return;
+            }
+            greeted = true;
+            dialledAt = loop.now();
+            if (incarnation == 0) {
+                registering = this;
+            }
             link.write(Words.piece(Frames.NODE, Words.node("here").put("version", 1).put("name", name).put("boot", boot)
                     .put("incarnation", incarnation).put("clock", loop.now())));
         }
@@ -617,11 +646,15 @@
             switch (words.path("kind").asText()) {
                 case "welcome" -> {
                     heardAt = loop.now();
-                    incarnation = Math.max(incarnation, words.path("incarnation").asLong());
+                    if (incarnation == 0) {
+                        incarnation = words.path("incarnation").asLong();
+                        registering = null;
+                    }
                     welcomed = true;
                     welcome = true;
                     gap = FIRST_GAP;
                     say(report(loop.now()));
+                    links.forEach(InstanceLink::greet);
                 }
                 case "heard" -> heardAt = loop.now();
                 case "order" -> order(this, words);
--- a/hosted/src/main/java/embershift/hosted/Installation.java
+++ b/hosted/src/main/java/embershift/hosted/Installation.java
@@ -34,6 +34,8 @@
                         @JsonProperty("tries") Integer tries, @JsonProperty("at-once") Integer flight,
                         @JsonProperty("service") Double service) {
 
+        private static final double STUCK = 5;
+
         public Fleet {
             Rollout.Terms usual = Rollout.Terms.USUAL;
             session = session == null ? Owner.Terms.USUAL.session() : session;
@@ -46,6 +48,11 @@
             service = service == null ? usual.service() : service;
         }
 
+        /** Of a duty that is never done: one that hears no node, or can't ask what it should, lets others try. */
+        Owner.Terms standing() {
+            return terms(STUCK * session, Owner.Terms.USUAL.owners());
+        }
+
         Owner.Terms terms(double stuck, int owners) {
             Owner.Terms usual = Owner.Terms.USUAL;
             return new Owner.Terms(session, usual.again(), stuck, owners, usual.longestPause());
--- a/hosted/src/main/java/embershift/hosted/ListsDuty.java
+++ b/hosted/src/main/java/embershift/hosted/ListsDuty.java
@@ -34,7 +34,7 @@
 
     ListsDuty(Duties all) {
         super(all, "lists");
-        own(new Plan("lists", 0, 0), all.fleet().terms(20, 3));
+        own(new Plan("lists", 0, 0), all.fleet().standing());
     }
 
     @Override
--- a/hosted/src/main/java/embershift/hosted/Nodes.java
+++ b/hosted/src/main/java/embershift/hosted/Nodes.java
@@ -188,7 +188,7 @@
         }
         Item item = record.get().get(NODE + name);
         if (link.incarnation > 0 || item != null && item.value().equals(boot)) {
-            welcome(link, Math.max(link.incarnation, item != null && item.value().equals(boot) ? item.revision() : 0));
+            welcome(link, link.incarnation > 0 ? link.incarnation : item.revision());
         } else {
             register(link);
         }
--- a/hosted/src/main/java/embershift/hosted/OrderCommands.java
+++ b/hosted/src/main/java/embershift/hosted/OrderCommands.java
@@ -35,6 +35,7 @@
         commands.put("floor", new Floor());
         commands.put("shut-out", new ShutOut());
         commands.put("let-in", new LetIn());
+        commands.put("forget", new Forget());
         commands.put("release", new Releases());
         return commands;
     }
@@ -277,6 +278,23 @@
         }
     }
 
+    @Parameters(commandDescription = "NODE: there is no such node any more; one that comes again has a name again")
+    private static final class Forget extends FleetCommands.Steps {
+        @Override
+        RecordClient.Outcome run(RecordClient client) {
+            words(1, "forget NODE");
+            String name = words.get(0);
+            RecordClient.Outcome node = get(client, Nodes.NODE + name);
+            if (!node.done()) {
+                return node;
+            }
+            return item(node).isMissingNode() ? refused("no-node", "there is no node " + name)
+                    : change(client, List.of(new Condition(Nodes.NODE + name, item(node).path("revision").asLong())),
+                            List.of(new Write(Nodes.NODE + name, null, false), new Write(Nodes.OUT + name, null, false),
+                                    new Write(RolloutDuty.STATE + name, null, false)), within);
+        }
+    }
+
     @Parameters(commandDescription = "start NAME PART ... | show | go | pause | abort: hosts and nodes started anew in steps")
     private static final class Releases extends FleetCommands.Steps {
         @Parameter(names = "--size", description = "Parts that may be away at one time")
--- a/hosted/src/main/java/embershift/hosted/RolloutDuty.java
+++ b/hosted/src/main/java/embershift/hosted/RolloutDuty.java
@@ -51,7 +51,7 @@
 
     RolloutDuty(Duties all) {
         super(all, "rollout");
-        own(new Plan("rollout", 0, 0), all.fleet().terms(20, 3));
+        own(new Plan("rollout", 0, 0), all.fleet().standing());
     }
 
     @Override
--- a/rig/src/main/java/embershift/rig/Main.java
+++ b/rig/src/main/java/embershift/rig/Main.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import embershift.rig.process.FleetMeasure;
+import embershift.rig.process.FleetPlay;
 import embershift.rig.process.Instances;
 import embershift.rig.process.Measure;
 import embershift.rig.process.Play;
@@ -163,6 +164,41 @@
         }
     }
 
+    @Parameters(commandDescription = "Fleets of processes under faults drawn from seeds; exit 1 where something was broken")
+    private static final class FleetHunt implements Command {
+        @Parameter(names = "--minutes", description = "How long")
+        double minutes = 10;
+
+        @Parameter(names = "--seed", description = "Of the first")
+        long seed = System.nanoTime() & 0xffffff;
+
+        @Parameter(names = "--lasts", description = "Seconds of faults in each")
+        double lasts = 30;
+
+        @Parameter(names = "--nodes", description = "Nodes of each")
+        int nodes = 10;
+
+        @Parameter(names = "--instances", description = "Instances of each")
+        int instances = 5;
+
+        @Override
+        public int run() throws IOException {
+            long until = System.nanoTime() + (long) (minutes * 60e9);
+            for (long each = seed; System.nanoTime() < until; each++) {
+                Path folder = Files.createTempDirectory("rig");
+                FleetPlay.Report report = FleetPlay.play(each, lasts, instances, nodes, folder);
+                System.out.printf("seed %d: %s, all current after %.2f s%n%s%n", each,
+                        report.broken() == null ? "nothing broken" : "BROKEN", report.healed(), report.reached());
+                if (report.broken() != null) {
+                    System.out.println(report.broken() + "\nwhat is left of the run: " + folder);
+                    return BROKEN;
+                }
+                Instances.delete(folder);
+            }
+            return 0;
+        }
+    }
+
     @Parameters(commandDescription = "The figures of docs/duties.md and docs/audit.md, on this machine")
     private static final class FleetFigures implements Command {
         @Parameter(names = "--nodes", description = "How many nodes, each a process")
@@ -185,11 +221,12 @@
         JCommander line = JCommander.newBuilder().programName("embershift-rig").addCommand("play", new PlayIt())
                 .addCommand("hunt", new Hunt()).addCommand("worlds", new Simulate())
                 .addCommand("measure", new Figures()).addCommand("fleets", new Fleets())
+                .addCommand("hunt-fleet", new FleetHunt())
                 .addCommand("measure-fleet", new FleetFigures()).build();
         try {
             line.parse(args);
             if (line.getParsedCommand() == null) {
-                throw new ParameterException("play, hunt, worlds, fleets, measure or measure-fleet is wanted");
+                throw new ParameterException("play, hunt, worlds, fleets, hunt-fleet, measure or measure-fleet is wanted");
             }
             Command command = (Command) line.getCommands().get(line.getParsedCommand()).getObjects().get(0);
             System.exit(command.run());
--- a/rig/src/test/java/embershift/rig/FleetProcessesTest.java
+++ b/rig/src/test/java/embershift/rig/FleetProcessesTest.java
@@ -1,8 +1,10 @@
 package embershift.rig;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import embershift.rig.process.FleetPlay;
 import embershift.rig.process.FleetSite;
 import embershift.rig.process.Instances;
 import embershift.rig.process.Program;
@@ -32,7 +34,10 @@
 
     @AfterMethod
     public void end(ITestResult result) throws IOException {
-        site.close();
+        if (site != null) {
+            site.close();
+            site = null;
+        }
         if (result.isSuccess()) {
             Instances.delete(folder);
         } else {
@@ -226,4 +231,71 @@
             assertTrue(clients.answers().getOrDefault("UP", 0) > 50, clients.answers().toString());
         }
     }
+
+    @Test
+    public void ownerThatNodesCannotHearGivesTheDutyUpAndOneWithoutTheRecordDoesNothing() throws Exception {
+        begin(2, 2, "");
+        revise(0, "out/h1=worn");
+        FleetSite.await("floor", PATIENCE, () -> "1".equals(site.get("rollout/floor")));
+        // Cut off from the nodes, in both directions, not from the record.
+        String owner = site.awaitOwner("rollout", null);
+        List.of("n1", "n2").forEach(node -> site.ways.cutBoth(owner, node, true));
+        revise(0, "out/h2=worn", "--remove", "out/h1");
+        String next = site.awaitOwner("rollout", owner);
+        FleetSite.await("floor", PATIENCE, () -> "2".equals(site.get("rollout/floor")));
+        // The reverse: it hears the nodes, and neither the other instances nor they it.
+        List.of("n1", "n2").forEach(node -> site.ways.cutBoth(owner, node, false));
+        site.instances.names().stream().filter(name -> !name.equals(next)).forEach(name -> site.ways.cutBoth(next, name, true));
+        site.awaitOwner("rollout", next);
+        revise(0, "--remove", "out/h2");
+        FleetSite.await("floor", PATIENCE, () -> "3".equals(site.get("rollout/floor")));
+        assertTrue(site.tunnel("n1").startsWith("UP") && site.tunnel("n2").startsWith("UP"));
+        site.ways.clearAll();
+        assertEquals(site.fleet("audit", "--verify").status(), 0);
+    }
+
+    @Test
+    public void releaseHaltsWithoutAMajorityWhileNodesPlaceOnAndGoesOnAfter() throws Exception {
+        begin(2, 3, "");
+        FleetSite.await("nodes", PATIENCE, () -> site.state("n1").equals("CURRENT") && site.state("n2").equals("CURRENT"));
+        assertEquals(site.fleet("release", "start", "r2", "host:h1", "node:n1", "host:h2", "host:h3", "--size", "1", "--warm", "0.3",
+                "--service", "0").status(), 0);
+        FleetSite.await("the first part", PATIENCE, () -> !site.manager.events().isEmpty());
+        List<String> away = site.instances.names().subList(0, 2);
+        away.forEach(site.instances::stop);
+        // What had been called for may end; nothing more is begun once the owner's time is over.
+        Instances.sleep(2);
+        long begun = site.manager.events().stream().filter(event -> event.away()).count();
+        Instances.sleep(2);
+        assertEquals(site.manager.events().stream().filter(event -> event.away()).count(), begun);
+        assertTrue(site.tunnel("n2").startsWith("UP"));
+        away.forEach(site.instances::goOn);
+        FleetSite.await("the end of it", 2 * PATIENCE, () -> "r2 done".equals(site.get("release/state")));
+        assertEquals(site.manager.events().size(), 8);
+        assertEquals(site.manager.mostAway(), 1, site.manager.events().toString());
+    }
+
+    @Test
+    public void fleetUnderDrawnFaultsBreaksNothingAndComesRight() throws Exception {
+        folder = Files.createTempDirectory("rig");
+        FleetPlay.Report report = FleetPlay.play(7, 15, 3, 4, folder);
+        assertNull(report.broken(), report.toString());
+        for (String what : List.of("revisions taken", "setups judged", "changes 0", "clients UP")) {
+            assertTrue(report.reached().getOrDefault(what, 0) >= 5, what + " in " + report);
+        }
+    }
+
+    @Test
+    public void nodeThatMayNotBeStaleLeavesInOrderAndOneThatServesServesOn() throws Exception {
+        begin(1, 2, "stale = \"leave\"\nstale-after-s = 2\nalone-s = 1\nspread-s = 0.5\n");
+        site.awaitState("n1", "CURRENT");
+        Program node = site.node("n1");
+        site.instances.names().forEach(site.instances::stop);
+        assertTrue(node.awaitFor(PATIENCE));
+        assertEquals(node.await(), 6);
+        assertTrue(node.output().contains("no instance is heard") && node.output().contains("n1 leaving"), node.output());
+        site.instances.names().forEach(site.instances::goOn);
+        site.startNode("n1");
+        site.awaitState("n1", "CURRENT");
+    }
 }
