A release goes on after its owner's time lapsed, and an owner that hears no node judges none

A majority stopped in the middle of a release: the owner's time lapsed and came back under the same grant; its log shows duty, duty over, duty by one fence. Cause: the step was dropped at the lapse, and the owner still waited for its end. Now the step ends as unknown and is begun again. An owner cut off from the nodes but not from the record halted the revision, as its first node was silent; the next owner kept to that. Now nobody is judged by silence while more than half are silent.

Also: a node's word counts from when the instance's own clock that comes back in it was shown, so that a late word makes no silent node a present one.

--- a/door/src/main/java/embershift/door/Door.java
+++ b/door/src/main/java/embershift/door/Door.java
@@ -527,6 +527,8 @@
         private double notBefore;
         private double dialledAt;
         private double heard;
+        /** The instance's clock, in the latest of its words. */
+        private double instanceAt;
         private final Map<Long, DutyId> asked = new LinkedHashMap<>();
         private long calls;
 
@@ -549,6 +551,7 @@
             connected = false;
             greeted = false;
             welcome = false;
+            instanceAt = 0;
             asked.clear();
             dialledAt = now;
             heard = now;
@@ -591,6 +594,8 @@
         }
 
         void say(ObjectNode words) {
+            // By that its owner tells how old this word is, by its own clock alone.
+            words.put("echo", instanceAt);
             if (welcome && link != null && !link.backedUp() && !link.write(Words.piece(Frames.NODE, words))) {
                 drop(loop.now());
             }
@@ -643,6 +648,7 @@
                 diary.heard(time, System.currentTimeMillis());
             }
             floor = Math.max(floor, words.path("floor").asLong());
+            instanceAt = Math.max(instanceAt, words.path("at").asDouble());
             switch (words.path("kind").asText()) {
                 case "welcome" -> {
                     heardAt = loop.now();
--- a/fleet/src/main/java/embershift/fleet/Rollout.java
+++ b/fleet/src/main/java/embershift/fleet/Rollout.java
@@ -354,6 +354,12 @@
     }
 
     private void lookAtFirst() {
+        long silentOnes = nodes.keySet().stream().filter(name -> state(name) == State.SILENT).count();
+        // Rather a cut, maybe of this owner alone, than so many that the revision ended: nobody is judged by silence then.
+        boolean cut = 2 * silentOnes > nodes.size();
+        if (cut) {
+            stageSince = now;
+        }
         boolean all = true;
         for (String name : first) {
             Node node = nodes.get(name);
--- a/hosted/src/main/java/embershift/hosted/Nodes.java
+++ b/hosted/src/main/java/embershift/hosted/Nodes.java
@@ -72,6 +72,7 @@
             heardAt = loop.now();
         }
 
+        /** A time, by this instance's clock, since which the node is known to have run and been heard. */
         double heardAt() {
             return heardAt;
         }
@@ -94,7 +95,7 @@
 
         private void say(ObjectNode words) {
             clock();
-            entrance.tell(words.put("floor", floor()).put("time", time.toString()));
+            entrance.tell(words.put("floor", floor()).put("time", time.toString()).put("at", loop.now()));
         }
 
         private void out(String why) {
@@ -235,7 +236,8 @@
         if (!link.welcome) {
             return;
         }
-        link.heardAt = loop.now();
+        // When the node had this word before it: one that lay long on its way is no news of the node.
+        link.heardAt = Math.max(link.heardAt, Math.min(words.path("echo").asDouble(), loop.now()));
         switch (words.path("kind").asText()) {
             case "report" -> {
                 link.clock = words.path("clock").asDouble();
--- a/hosted/src/main/java/embershift/hosted/ReleaseDuty.java
+++ b/hosted/src/main/java/embershift/hosted/ReleaseDuty.java
@@ -71,14 +71,18 @@
         toldAt.clear();
         out = Set.of();
         state = "";
-        endedHere = false;
     }
 
     @Override
     void end() {
         discovery.close();
-        step = null;
         out = Set.of();
+        endedHere = false;
+        if (step != null) {
+            step = null;
+            // Its time may only have lapsed: should it come back under the same grant, the step is begun again.
+            owner().acted(now(), stepNumber, owner().fence(), Owner.Effect.UNKNOWN);
+        }
     }
 
     @Override
--- a/hosted/src/main/java/embershift/hosted/RolloutDuty.java
+++ b/hosted/src/main/java/embershift/hosted/RolloutDuty.java
@@ -208,7 +208,7 @@
         if (rollout != null) {
             JsonNode report = link.report();
             if (report.has("clock")) {
-                rollout.heard(now(), new Rollout.Report(link.name, link.incarnation, report.path("revision").asLong(),
+                rollout.heard(link.heardAt(), new Rollout.Report(link.name, link.incarnation, report.path("revision").asLong(),
                         report.path("chain").asText(), report.path("content").asText(), report.path("ready").asBoolean(),
                         report.path("refused").asLong(), report.path("why").asText(), report.path("opened").asLong(),
                         report.path("failed").asLong()));
--- a/rig/src/main/java/embershift/rig/world/ReleaseWorld.java
+++ b/rig/src/main/java/embershift/rig/world/ReleaseWorld.java
@@ -31,8 +31,8 @@
     private static final double FAULTS = 60;
     private static final double END = 300;
     private static final double SILENT = 1;
-    /** Seconds after which what is so must be known: a word may be late on its way to an owner, and so may the owner's call. */
-    private static final double KNOWN = 18;
+    /** Seconds after which what is so must be known: an owner's call may be late on its way. */
+    private static final double KNOWN = 11;
 
     private final long seed;
     private final Random chance;
@@ -245,9 +245,13 @@
             nodes.forEach((name, node) -> {
                 if (node.up && !node.cut()) {
                     Set<String> told = node.out;
+                    double at = time.now();
                     time.in(late(), () -> {
-                        heardAt.put(name, time.now());
-                        known.put(name, new Release.NodeView(true, true, told));
+                        // A word counts from when it was sent: the owner's own clock comes back in it.
+                        if (at > heardAt.get(name)) {
+                            heardAt.put(name, at);
+                            known.put(name, new Release.NodeView(true, true, told));
+                        }
                     });
                     if (release != null && !told.equals(out) && !lost()) {
                         Set<String> wanted = out;
