A host goes away only while every node in reach knows; tests wait until a stopped process stands

A node that could not be reached counted as away, so the host was to be started anew without it; it held up that start, came back, and the host went away while that node used it. Seen in the world's own print of what the owner knew at the call.

StoppedNeighbourTest failed once more, on a busy machine: the call was answered 200, 1.5 s after the stop. Ruled out: catching up, as the answer came at once. Cause: kill ends before the stop takes hold where the thread that has to take the signal gets no processor, and the call was answered still. Test and rig wait until /proc says that the process stands.

--- a/fleet/src/main/java/embershift/fleet/Release.java
+++ b/fleet/src/main/java/embershift/fleet/Release.java
@@ -237,9 +237,7 @@
             become(now, work, Phase.WAITING);
             return;
         }
-        List<String> ignorant = view.nodes().entrySet().stream()
-                .filter(node -> node.getValue().reached() && !node.getValue().out().contains(part.name()))
-                .map(Map.Entry::getKey).toList();
+        List<String> ignorant = ignorant(part);
         if (ignorant.isEmpty()) {
             become(now, work, Phase.STARTING_ANEW);
         } else {
@@ -247,6 +245,13 @@
         }
     }
 
+    /** Nodes that can be reached and may use the host still. */
+    private List<String> ignorant(ReleasePlan.Part part) {
+        return part.node() ? List.of() : view.nodes().entrySet().stream()
+                .filter(node -> node.getValue().reached() && !node.getValue().out().contains(part.name()))
+                .map(Map.Entry::getKey).toList();
+    }
+
     private void startAnew(double now, ReleasePlan.Part part, Work work) {
         if (work.managed == Managed.DONE) {
             become(now, work, Phase.WARMING);
@@ -266,6 +271,11 @@
             waitsFor = "away already: " + String.join(", ", away);
             return;
         }
+        if (!work.called && !ignorant(part).isEmpty()) {
+            // One that could not be reached, and counted as away, is back and knows nothing of it.
+            become(now, work, Phase.TAKING_OUT);
+            return;
+        }
         if (now - work.asked >= AGAIN) {
             work.asked = now;
             hands.startAnew(part, plan.id(step, part));
--- a/rig/src/main/java/embershift/rig/process/Program.java
+++ b/rig/src/main/java/embershift/rig/process/Program.java
@@ -15,6 +15,7 @@
 public final class Program {
 
     private static final long LOOK_MS = 5;
+    private static final long STOPS_NS = 2_000_000_000L;
 
     private final Process process;
     private final Path log;
@@ -79,6 +80,16 @@
     /** It stands still from now on, with all its sockets. */
     public void stop() {
         signal("-STOP");
+        Path stat = Path.of("/proc", String.valueOf(process.pid()), "stat");
+        try {
+            // On a busy machine it takes hold after kill has ended: until then the process still goes on.
+            for (long until = System.nanoTime() + STOPS_NS; runs() && System.nanoTime() < until
+                    && !Files.readString(stat).matches("(?s).*\\) T .*"); ) {
+                Thread.onSpinWait();
+            }
+        } catch (IOException e) {
+            // It has ended meanwhile.
+        }
     }
 
     /** It goes on, if it stood still. */
