--- a/door/src/main/java/embershift/door/Door.java
+++ b/door/src/main/java/embershift/door/Door.java
@@ -200,8 +200,7 @@
     }
 
     private void report() {
-        ObjectNode report = report(loop.now());
-        links.forEach(link -> link.say(report));
+        reportNow();
         if (!leaving) {
             loop.after(file.report(), this::report);
         }
--- a/hosted/src/main/java/embershift/hosted/ListsDuty.java
+++ b/hosted/src/main/java/embershift/hosted/ListsDuty.java
@@ -4,7 +4,6 @@
 import embershift.door.Words;
 import embershift.fleet.HostsChange;
 import embershift.fleet.HostsTold;
-import embershift.fleet.Owner;
 import embershift.fleet.Plan;
 
 import java.util.HashMap;
