The test of the stopped node asks after n3 took the revision, not after its state was noted

Cause: failed again in a whole run. Seen in the trails it left: the time asked for was before n3 took revision 2. The state in the record was read as CURRENT, which it still was of revision 1, as states are noted each half second. Now n3's own trail has to show the revision before the time is taken.

--- a/rig/src/test/java/embershift/rig/FleetProcessesTest.java
+++ b/rig/src/test/java/embershift/rig/FleetProcessesTest.java
@@ -89,6 +89,8 @@
         site.awaitState("n2", "SILENT");
         revise(0, "out/h2=worn");
         FleetSite.await("stage", PATIENCE, () -> stageIs("2 ALL"));
+        // The state that is noted may be that of before the stage; the node's own trail is not.
+        FleetSite.await("n3 has taken it", PATIENCE, () -> said("audit", "--node", "n3").matches("(?s).*n3 +2 .*"));
         site.awaitState("n3", "CURRENT");
         assertEquals(site.state("n2"), "SILENT");
         assertEquals(site.get("rollout/floor"), "1");
