Worlds share one base, duties one way to order, and a node no longer gathers chains of reports

Seen when the change was read once more; nothing a test expects has changed.

- Door: each change of readiness began one more periodic chain of reports, for good.
One word at once was meant.
- Rollout: the sums of a revision were reckoned anew for each node at each look, some twenty times a second; now once a revision.
- DutyWorld, FleetWorld, ReleaseWorld: seed, counts, first break and agenda stand in SeededWorld and Timeline.
Mutation asks a world for what a mistake breaks, where four tests loaded classes by themselves.
- Duty.order: fence and refusal as old, written three times before.

--- a/door/src/main/java/embershift/door/Door.java
+++ b/door/src/main/java/embershift/door/Door.java
@@ -28,12 +28,14 @@
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -65,7 +67,7 @@
     private static final List<String> SHORT = List.of("opened", "declined", "failed");
 
     private final DoorFile file;
-    private final String boot = Long.toHexString(new java.security.SecureRandom().nextLong());
+    private final String boot = Long.toHexString(new SecureRandom().nextLong());
     private final Gate gate = new Gate();
     private final Admission admission;
     private final HostsHeld hosts = new HostsHeld();
@@ -153,7 +155,7 @@
         leaving = true;
         countTunnels(true);
         enter(Trace.Kind.ENDS, Map.of(), "");
-        report();
+        reportNow();
         tellTrail(true);
     }
 
@@ -183,7 +185,7 @@
         if (ready() != readyTold) {
             readyTold = ready();
             enter(Trace.Kind.READY, Map.of("ready", String.valueOf(readyTold)), "");
-            report();
+            reportNow();
         }
         if (now - countedAt >= COUNTS) {
             countTunnels(now - countedAt >= COUNTS_IDLE);
@@ -278,7 +280,7 @@
             InstanceLink link = links.get((telling + (again ? 1 : 0) + i) % links.size());
             if (link.welcome) {
                 telling = links.indexOf(link);
-                link.say(Words.node("trail").put("key", segment.key()).put("number", segment.number()).put("text", segment.text()));
+                link.say(Words.node("trail").put("number", segment.number()).put("text", segment.text()));
                 return;
             }
         }
@@ -305,7 +307,7 @@
         ObjectNode verdict = Words.node("verdict").put("id", order.path("id").asLong()).put("duty", duty.name())
                 .put("verdict", word.verdict().name()).put("why", word.why())
                 .put("known", word.known() == null ? 0 : word.known().number());
-        router.tally().count("orders " + word.verdict().name().toLowerCase(java.util.Locale.ROOT));
+        router.tally().count("orders " + word.verdict().name().toLowerCase(Locale.ROOT));
         if (word.verdict() == Admission.Verdict.TAKEN) {
             carryOut(duty, fence, order, verdict, () -> from.say(verdict));
             return;
--- a/fleet/src/main/java/embershift/fleet/Release.java
+++ b/fleet/src/main/java/embershift/fleet/Release.java
@@ -57,7 +57,6 @@
 
     private static final class Work {
         private Phase phase = Phase.WAITING;
-        private double since;
         private double asked = Double.NEGATIVE_INFINITY;
         private boolean called;
         /** An owner before this one may have called for it. */
@@ -166,7 +165,6 @@
 
     private void become(double now, Work work, Phase phase) {
         work.phase = phase;
-        work.since = now;
         work.asked = Double.NEGATIVE_INFINITY;
         progressed = now;
     }
--- a/fleet/src/main/java/embershift/fleet/Rollout.java
+++ b/fleet/src/main/java/embershift/fleet/Rollout.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -60,6 +61,13 @@
         void told(String what);
     }
 
+    private record Sums(String chain, String content) {
+
+        static Sums of(Revision revision) {
+            return new Sums(revision.chain(), revision.content());
+        }
+    }
+
     private static final class Node {
         private Report report;
         private boolean linked;
@@ -80,6 +88,8 @@
     private final Terms terms;
     private final Hands hands;
     private final TreeMap<Long, Revision> revisions = new TreeMap<>();
+    /** Of each revision, reckoned once: nodes are compared with them many times a second. */
+    private final Map<Long, Sums> sums = new HashMap<>();
     private final TreeMap<String, Node> nodes = new TreeMap<>();
     /** The highest incarnation of each name that is shut out, and why. */
     private final Map<String, Long> out = new TreeMap<>();
@@ -100,14 +110,16 @@
     public Rollout(Terms terms, Hands hands) {
         this.terms = terms;
         this.hands = hands;
-        revisions.put(0L, Revision.NONE);
+        known(Revision.NONE, false);
     }
 
     // What the record says.
 
     /** A revision that the record has. {@code now}: it goes to all at once. */
     public void known(Revision revision, boolean atOnce) {
-        revisions.put(revision.number(), revision);
+        if (revisions.put(revision.number(), revision) == null) {
+            sums.put(revision.number(), Sums.of(revision));
+        }
         if (atOnce) {
             hurry = Math.max(hurry, revision.number());
         }
@@ -249,13 +261,13 @@
     }
 
     private boolean foreign(Report report) {
-        Revision known = revisions.get(report.revision());
-        return report.revision() > revisions.lastKey() || known != null && !known.chain().equals(report.chain());
+        Sums known = sums.get(report.revision());
+        return report.revision() > revisions.lastKey() || known != null && !known.chain.equals(report.chain());
     }
 
     private boolean diverged(Report report) {
-        Revision known = revisions.get(report.revision());
-        return report.revision() > 0 && known != null && !known.content().equals(report.content());
+        Sums known = sums.get(report.revision());
+        return report.revision() > 0 && known != null && !known.content.equals(report.content());
     }
 
     /** The revision by which that node should go. */
@@ -279,11 +291,6 @@
         return floor;
     }
 
-    /** Whether any node was heard lately: an owner that hears none should let another try. */
-    public boolean hearsAny(double time) {
-        return nodes.values().stream().anyMatch(node -> node.linked && time - node.heard <= terms.silent());
-    }
-
     // What is done.
 
     /** Time has passed. To be called several times a second. */
--- a/hosted/src/main/java/embershift/hosted/AuditCommand.java
+++ b/hosted/src/main/java/embershift/hosted/AuditCommand.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import embershift.door.Words;
 import embershift.fleet.Audit;
 import embershift.fleet.Folding;
 import embershift.fleet.Trace;
@@ -87,7 +88,7 @@
             trail.answer().path("items").forEach(item -> texts.add(item.path("value").asText()));
         }
         Audit audit = new Audit(texts, registered, begins);
-        ObjectNode answer = Calls.node();
+        ObjectNode answer = Words.node();
         ArrayNode rows = answer.putArray("rows");
         if (verify) {
             heads = List.of("PROBLEM");
--- a/hosted/src/main/java/embershift/hosted/Calls.java
+++ b/hosted/src/main/java/embershift/hosted/Calls.java
@@ -1,7 +1,6 @@
 package embershift.hosted;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import embershift.door.Frames;
@@ -25,7 +24,6 @@
 /** What callers may ask of an instance, as JSON, and what they are answered. */
 final class Calls {
 
-    private static final JsonMapper JSON = new JsonMapper();
     private static final int VERSION = 1;
 
     /** Whoever waits for an answer. */
@@ -36,10 +34,6 @@
     private Calls() {
     }
 
-    static ObjectNode node() {
-        return JSON.createObjectNode();
-    }
-
     /** Answers a call, now or later. */
     static void take(Instance instance, Instance.Entrance entrance, byte[] piece) throws Frames.Unreadable {
         ObjectNode call = Words.read(piece);
@@ -120,7 +114,7 @@
     }
 
     private static ObjectNode written(long id, Answer answer) {
-        ObjectNode node = JSON.createObjectNode().put("id", id);
+        ObjectNode node = Words.node().put("id", id);
         if (answer instanceof Answer.Done done) {
             node.put("end", "done").put("number", done.number());
         } else if (answer instanceof Answer.Found found) {
@@ -148,7 +142,7 @@
     private static ObjectNode status(long id, Instance instance) {
         Raft raft = instance.replica().raft();
         Member leader = raft.leader() == null ? null : raft.members().get(raft.leader());
-        ObjectNode node = JSON.createObjectNode().put("id", id).put("end", "done").put("name", instance.name())
+        ObjectNode node = Words.node().put("id", id).put("end", "done").put("name", instance.name())
                 .put("member", instance.identity().id().toString())
                 .put("group", Long.toHexString(instance.identity().group()))
                 .put("role", raft.role().name().toLowerCase(Locale.ROOT)).put("term", raft.term())
--- a/hosted/src/main/java/embershift/hosted/Duty.java
+++ b/hosted/src/main/java/embershift/hosted/Duty.java
@@ -1,5 +1,6 @@
 package embershift.hosted;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import embershift.fleet.Command;
 import embershift.fleet.Condition;
 import embershift.fleet.DutyId;
@@ -15,6 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Consumer;
 
 import static net.logstash.logback.argument.StructuredArguments.kv;
 
@@ -166,10 +168,15 @@
         });
     }
 
-    /** A node knows a later grant. */
-    final void refusedAsOld(long known) {
-        all.counted("orders refused as old");
-        owner.knows(now(), new Fence(known));
+    /** Gives a node an order by this owner's fence; a node that knows a later one ends the duty here. Hears the verdict, or null for none. */
+    final void order(Nodes.NodeLink link, String what, ObjectNode order, Consumer<ObjectNode> heard) {
+        link.order(order.put("duty", id.name()).put("fence", fence().number()).put("what", what), verdict -> {
+            if (verdict != null && verdict.path("verdict").asText().equals("OLD")) {
+                all.counted("orders refused as old");
+                owner.knows(now(), new Fence(verdict.path("known").asLong()));
+            }
+            heard.accept(verdict);
+        });
     }
 
     // The owner's hands.
--- a/hosted/src/main/java/embershift/hosted/FleetCommands.java
+++ b/hosted/src/main/java/embershift/hosted/FleetCommands.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import embershift.door.Toml;
+import embershift.door.Words;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -62,7 +63,7 @@
 
         int told(RecordClient.Outcome outcome) {
             if (json) {
-                System.out.println(outcome.answer() == null ? Calls.node().put("end", outcome.end())
+                System.out.println(outcome.answer() == null ? Words.node().put("end", outcome.end())
                         : outcome.answer().put("end", outcome.end()));
             } else if (outcome.done()) {
                 print(outcome.answer());
@@ -111,7 +112,7 @@
                 String where = address.getHostString() + ":" + address.getPort();
                 all &= answer != null;
                 if (json) {
-                    System.out.println(answer == null ? Calls.node().put("address", where).put("end", "unknown") : answer);
+                    System.out.println(answer == null ? Words.node().put("address", where).put("end", "unknown") : answer);
                 } else if (answer == null) {
                     rows.add(List.of(where, "no answer", "", "", "", "", ""));
                 } else {
@@ -143,7 +144,7 @@
                     best = answer;
                 }
             }
-            return told(best == null ? new RecordClient.Outcome("refused", Calls.node().put("reason", "no-answer"))
+            return told(best == null ? new RecordClient.Outcome("refused", Words.node().put("reason", "no-answer"))
                     : new RecordClient.Outcome("done", best));
         }
 
@@ -250,13 +251,13 @@
             if (from < 0) {
                 ObjectNode status = RecordClient.askOne(addresses().get(0), RecordClient.call("status"), within);
                 if (status == null) {
-                    return told(new RecordClient.Outcome("refused", Calls.node().put("reason", "no-answer")));
+                    return told(new RecordClient.Outcome("refused", Words.node().put("reason", "no-answer")));
                 }
                 call.put("from", status.path("revision").asLong() + 1);
             }
             ObjectNode answer = RecordClient.askOne(addresses().get(0), call, within);
             return told(new RecordClient.Outcome(answer == null ? "refused" : answer.path("end").asText(),
-                    answer == null ? Calls.node().put("reason", "nothing-changed") : answer));
+                    answer == null ? Words.node().put("reason", "nothing-changed") : answer));
         }
 
         @Override
@@ -336,7 +337,7 @@
         }
 
         static RecordClient.Outcome refused(String reason, String text) {
-            return new RecordClient.Outcome("refused", Calls.node().put("reason", reason).put("text", text));
+            return new RecordClient.Outcome("refused", Words.node().put("reason", reason).put("text", text));
         }
     }
 
--- a/hosted/src/main/java/embershift/hosted/Installation.java
+++ b/hosted/src/main/java/embershift/hosted/Installation.java
@@ -5,7 +5,6 @@
 import embershift.fleet.Owner;
 import embershift.fleet.Rollout;
 
-import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,10 +19,6 @@
 public record Installation(String name, String folder, String listen, String address, boolean drills, Pace pace,
                            Bounds bounds, Map<String, String> ways, Fleet fleet) {
 
-    static InetSocketAddress socket(String address) {
-        return Toml.socket(address);
-    }
-
     /**
      * What the duties go by; absent: this instance owns none. {@code discovery}: asked for all nodes; {@code manager}: who starts hosts and
      * nodes anew; {@code session}: seconds without a word after which a duty goes to another. Others: see {@link Rollout.Terms}.
--- a/hosted/src/main/java/embershift/hosted/ListsDuty.java
+++ b/hosted/src/main/java/embershift/hosted/ListsDuty.java
@@ -1,6 +1,7 @@
 package embershift.hosted;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import embershift.door.Toml;
 import embershift.door.Words;
 import embershift.fleet.HostsChange;
 import embershift.fleet.HostsTold;
@@ -41,7 +42,7 @@
         told = new HostsTold();
         nodes.clear();
         HostsTold mine = told;
-        discovery = new Discovery(all.loop(), Installation.socket(all.fleet().discovery()), (generation, whole, anew) -> {
+        discovery = new Discovery(all.loop(), Toml.socket(all.fleet().discovery()), (generation, whole, anew) -> {
             all.counted("discovery answers");
             if (anew) {
                 mine.discoveryBeganAnew();
@@ -86,23 +87,19 @@
 
     private void tell(Nodes.NodeLink link, Told node) {
         HostsChange change = told.since(node.has);
-        ObjectNode order = Words.node().put("duty", id.name()).put("fence", fence().number()).put("what", "hosts")
-                .put("number", change.number()).put("base", change.base()).put("generation", change.generation());
+        ObjectNode order = Words.node().put("number", change.number()).put("base", change.base()).put("generation", change.generation());
         Words.texts(order.putObject("changed"), change.changed());
         Words.list(order.putArray("gone"), change.gone());
         node.out = true;
         all.counted(change.base() == 0 ? "lists told whole" : "lists told by difference");
         long incarnation = node.incarnation;
-        link.order(order, verdict -> {
+        order(link, "hosts", order, verdict -> {
             if (node.incarnation != incarnation) {
                 return;
             }
             node.out = false;
-            String word = verdict == null ? "" : verdict.path("verdict").asText();
             String end = verdict == null ? "" : verdict.path("end").asText();
-            if (word.equals("OLD")) {
-                refusedAsOld(verdict.path("known").asLong());
-            } else if (end.equals("TAKEN") || end.equals("SAME")) {
+            if (end.equals("TAKEN") || end.equals("SAME")) {
                 node.has = change.number();
                 node.next = node.has == told.number() ? now() + KEEP : Double.NEGATIVE_INFINITY;
             } else {
--- a/hosted/src/main/java/embershift/hosted/Nodes.java
+++ b/hosted/src/main/java/embershift/hosted/Nodes.java
@@ -94,7 +94,7 @@
         }
 
         private void say(ObjectNode words) {
-            clock();
+            time = time.next(System.currentTimeMillis());
             entrance.tell(words.put("floor", floor()).put("time", time.toString()).put("at", loop.now()));
         }
 
@@ -131,10 +131,6 @@
         return links.get(name);
     }
 
-    private void clock() {
-        time = time.next(System.currentTimeMillis());
-    }
-
     private long floor() {
         return Duty.number(record.get().get(RolloutDuty.FLOOR));
     }
--- a/hosted/src/main/java/embershift/hosted/OrderCommands.java
+++ b/hosted/src/main/java/embershift/hosted/OrderCommands.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.Parameters;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import embershift.door.Words;
 import embershift.fleet.Condition;
 import embershift.fleet.DutyId;
 import embershift.fleet.ReleasePlan;
@@ -58,10 +59,10 @@
             if (!outs.done()) {
                 return outs;
             }
-            ObjectNode answer = Calls.node();
+            ObjectNode answer = Words.node();
             Map<String, ObjectNode> rows = new TreeMap<>();
             names.answer().path("items").forEach(item -> rows.put(item.path("key").asText().substring(Nodes.NODE.length()),
-                    Calls.node().put("incarnation", item.path("revision").asLong())));
+                    Words.node().put("incarnation", item.path("revision").asLong())));
             states.answer().path("items").forEach(item -> {
                 ObjectNode row = rows.get(item.path("key").asText().substring(RolloutDuty.STATE.length()));
                 if (row != null) {
@@ -211,13 +212,13 @@
             if (!stage.done()) {
                 return stage;
             }
-            ObjectNode answer = Calls.node();
+            ObjectNode answer = Words.node();
             for (JsonNode item : all.answer().path("items")) {
                 Revision revision = Revision.read(item.path("value").asText());
                 if (revision != null) {
                     ObjectNode row = answer.withArray("revisions").addObject().put("number", revision.number())
                             .put("chain", revision.chain());
-                    embershift.door.Words.texts(row.putObject("fields"), revision.fields());
+                    Words.texts(row.putObject("fields"), revision.fields());
                 }
             }
             stage.answer().path("items").forEach(item -> answer.put(item.path("key").asText(), item.path("value").asText()));
--- a/hosted/src/main/java/embershift/hosted/RecordClient.java
+++ b/hosted/src/main/java/embershift/hosted/RecordClient.java
@@ -65,7 +65,7 @@
     }
 
     public static ObjectNode call(String name) {
-        return Calls.node().put("call", name);
+        return Words.node().put("call", name);
     }
 
     /** A change of one key; {@code revision} negative: whatever it was; {@code value} null: takes it away. */
@@ -89,7 +89,7 @@
             if (session == 0) {
                 Outcome opened = send(call("open").put("client", name).put("seconds", 30), until);
                 if (!opened.done()) {
-                    return new Outcome("refused", Calls.node().put("reason", "no-leader").put("text", "no session could be "
+                    return new Outcome("refused", Words.node().put("reason", "no-leader").put("text", "no session could be "
                             + "opened: " + opened.text()));
                 }
                 session = opened.answer().path("number").asLong();
@@ -108,7 +108,7 @@
 
     private Outcome send(ObjectNode call, long until) {
         boolean mayHaveBeen = false;
-        ObjectNode last = Calls.node().put("reason", "no-answer").put("text", "no instance answered");
+        ObjectNode last = Words.node().put("reason", "no-answer").put("text", "no instance answered");
         while (System.nanoTime() < until) {
             try {
                 ObjectNode answer = once(call, Math.min(until, System.nanoTime() + (long) (ONE * 1e9)));
--- a/hosted/src/main/java/embershift/hosted/ReleaseDuty.java
+++ b/hosted/src/main/java/embershift/hosted/ReleaseDuty.java
@@ -1,6 +1,7 @@
 package embershift.hosted;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import embershift.door.Toml;
 import embershift.door.Words;
 import embershift.fleet.DutyId;
 import embershift.fleet.Fence;
@@ -65,8 +66,8 @@
 
     @Override
     void begin() {
-        manager = new Manager(all.loop(), Installation.socket(all.fleet().manager()));
-        discovery = new Discovery(all.loop(), Installation.socket(all.fleet().discovery()), (generation, whole, anew) -> { });
+        manager = new Manager(all.loop(), Toml.socket(all.fleet().manager()));
+        discovery = new Discovery(all.loop(), Toml.socket(all.fleet().discovery()), (generation, whole, anew) -> { });
         counts.clear();
         toldAt.clear();
         out = Set.of();
@@ -121,15 +122,10 @@
             double last = toldAt.getOrDefault(link.name, Double.NEGATIVE_INFINITY);
             if (link.report().has("clock") && now - last >= (knows ? 5 * TELL : TELL)) {
                 toldAt.put(link.name, now);
-                ObjectNode order = Words.node().put("duty", id.name()).put("fence", fence().number()).put("what", "out");
+                ObjectNode order = Words.node();
                 Words.list(order.putArray("hosts"), out);
-                link.order(order, verdict -> {
-                    if (verdict == null) {
-                        return;
-                    }
-                    if (verdict.path("verdict").asText().equals("OLD")) {
-                        refusedAsOld(verdict.path("known").asLong());
-                    } else if (!verdict.path("verdict").asText().equals("TAKEN")) {
+                order(link, "out", order, verdict -> {
+                    if (verdict != null && !verdict.path("verdict").asText().equals("TAKEN")) {
                         toldAt.put(link.name, now() - TELL * 4 / 5);
                     }
                 });
--- a/hosted/src/main/java/embershift/hosted/RolloutDuty.java
+++ b/hosted/src/main/java/embershift/hosted/RolloutDuty.java
@@ -231,8 +231,7 @@
         if (link == null) {
             return;
         }
-        ObjectNode order = Words.node().put("duty", id.name()).put("fence", fence().number()).put("what", "revision")
-                .put("number", revision.number()).put("base", base).put("chain", revision.chain())
+        ObjectNode order = Words.node().put("number", revision.number()).put("base", base).put("chain", revision.chain())
                 .put("content", revision.content());
         Revision from = base == 0 ? null : Revision.read(all.record().get(Revision.key(base)) == null ? ""
                 : all.record().get(Revision.key(base)).value());
@@ -242,13 +241,8 @@
         Words.texts(order.putObject("fields"), from == null ? revision.fields() : revision.differenceFrom(from));
         all.counted(from == null ? "revisions told whole" : "revisions told by difference");
         Rollout mine = rollout;
-        link.order(order, verdict -> {
-            if (mine != rollout || verdict == null) {
-                return;
-            }
-            if (verdict.path("verdict").asText().equals("OLD")) {
-                refusedAsOld(verdict.path("known").asLong());
-            } else {
+        order(link, "revision", order, verdict -> {
+            if (mine == rollout && verdict != null) {
                 mine.answered(now(), node, verdict.path("end").asText().equals("TAKEN"),
                         verdict.path("end").asText().equals("WHOLE"));
             }
--- a/rig/src/main/java/embershift/rig/Mutation.java
+++ b/rig/src/main/java/embershift/rig/Mutation.java
@@ -59,6 +59,14 @@
         return new URLClassLoader(urls.toArray(new URL[0]), ClassLoader.getPlatformClassLoader());
     }
 
+    /** What the mistake breaks in a world of the seeds, or null: by {@code firstBroken} of that class, loaded with the mistake. */
+    public Object firstBroken(String world, long first, long many) throws IOException, ReflectiveOperationException {
+        try (URLClassLoader loader = loader()) {
+            return loader.loadClass("embershift.rig.world." + world).getMethod("firstBroken", long.class, long.class)
+                    .invoke(null, first, many);
+        }
+    }
+
     @Override
     public void close() throws IOException {
         try (Stream<Path> all = Files.walk(folder)) {
--- a/rig/src/main/java/embershift/rig/process/FleetSite.java
+++ b/rig/src/main/java/embershift/rig/process/FleetSite.java
@@ -1,6 +1,7 @@
 package embershift.rig.process;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import embershift.hosted.RecordClient;
 import embershift.rig.history.History;
@@ -217,15 +218,19 @@
                 .collect(Collectors.toList());
     }
 
-    /** What a key of the record holds, or null. */
-    public String get(String key) {
+    private JsonNode item(String key) {
         try (RecordClient client = instances.client()) {
             RecordClient.Outcome outcome = client.ask(RecordClient.call("get").put("key", key), 5);
-            JsonNode item = outcome.done() ? outcome.answer().path("items").path(0) : null;
-            return item == null || item.isMissingNode() ? null : item.path("value").asText();
+            return outcome.done() ? outcome.answer().path("items").path(0) : MissingNode.getInstance();
         }
     }
 
+    /** What a key of the record holds, or null. */
+    public String get(String key) {
+        JsonNode item = item(key);
+        return item.isMissingNode() ? null : item.path("value").asText();
+    }
+
     /** The keys and values of the record that begin so. */
     public Map<String, String> list(String prefix) {
         Map<String, String> all = new TreeMap<>();
@@ -276,10 +281,7 @@
 
     /** Of the latest grant of a duty; "" for none. */
     public String fence(String duty) {
-        try (RecordClient client = instances.client()) {
-            RecordClient.Outcome outcome = client.ask(RecordClient.call("get").put("key", "duty/" + duty + "/fence"), 5);
-            return outcome.done() ? outcome.answer().path("items").path(0).path("revision").asText() : "";
-        }
+        return item("duty/" + duty + "/fence").path("revision").asText();
     }
 
     public String awaitOwner(String duty, String but) throws IOException {
--- a/rig/src/main/java/embershift/rig/world/DutyWorld.java
+++ b/rig/src/main/java/embershift/rig/world/DutyWorld.java
@@ -15,23 +15,14 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Random;
-import java.util.TreeMap;
 import java.util.function.Consumer;
-import java.util.stream.LongStream;
 
 /**
  * Owners of one duty, an agreed record that is seldom away, and receivers, in virtual time: owners are stopped and go on, end
  * and start anew; calls and orders are late, lost, and read long after; clocks run apart. Judged by what receivers took.
  */
-public final class DutyWorld {
-
-    /** {@code broken}: null where all held; {@code reached}: what the world ever did. */
-    public record Report(long seed, String broken, Map<String, Long> reached) {
-    }
+public final class DutyWorld extends SeededWorld {
 
     private static final DutyId DUTY = new DutyId("work");
     private static final int OWNERS = 3;
@@ -42,35 +33,19 @@
     private static final double ACT = 0.4;
     private static final double LOOK = 0.05;
 
-    private final long seed;
-    private final Random chance;
     private final Plan plan;
     private final Owner.Terms terms = new Owner.Terms(2, 0.1, 15, 1000, 4);
-    private final PriorityQueue<Happening> agenda = new PriorityQueue<>();
-    private final TreeMap<String, Long> reached = new TreeMap<>();
     private final Record record = new Record();
     private final Map<SessionId, Double> ends = new HashMap<>();
     private final List<Station> stations = new ArrayList<>();
     private final List<Receiver> receivers = new ArrayList<>();
     private final boolean clocksStray;
-    private double now;
     private double recordAway;
     private long places;
-    private long happenings;
     private int firstNotBegun;
-    private String broken;
-
-    private record Happening(double at, long number, Runnable what) implements Comparable<Happening> {
-        @Override
-        public int compareTo(Happening other) {
-            int order = Double.compare(at, other.at);
-            return order != 0 ? order : Long.compare(number, other.number);
-        }
-    }
 
     private DutyWorld(long seed) {
-        this.seed = seed;
-        chance = new Random(seed);
+        super(seed, FAULTS);
         clocksStray = chance.nextInt(3) == 0;
         plan = new Plan("p", 3 + chance.nextInt(8), ACT);
     }
@@ -81,32 +56,16 @@
 
     /** The first broken world among the seeds, or null. */
     public static String firstBroken(long first, long many) {
-        return LongStream.range(first, first + many).parallel().mapToObj(DutyWorld::play)
-                .filter(report -> report.broken() != null).findAny()
-                .map(report -> "seed " + report.seed() + " " + report.broken()).orElse(null);
-    }
-
-    private void in(double delay, Runnable what) {
-        agenda.add(new Happening(now + delay, ++happenings, what));
-    }
-
-    private void count(String what) {
-        reached.merge(what, 1L, Long::sum);
-    }
-
-    private void broken(String what) {
-        if (broken == null) {
-            broken = String.format(Locale.ROOT, "at %.3f s: %s", now, what);
-        }
+        return firstBroken(DutyWorld::play, first, many);
     }
 
     /** Mostly soon; now and then long after. */
     private double late() {
-        return chance.nextInt(20) == 0 && now < FAULTS ? 6 * chance.nextDouble() : 0.002 + 0.02 * chance.nextDouble();
+        return chance.nextInt(20) == 0 && faults() ? 6 * chance.nextDouble() : 0.002 + 0.02 * chance.nextDouble();
     }
 
     private boolean lost() {
-        return now < FAULTS && chance.nextInt(25) == 0;
+        return faults() && chance.nextInt(25) == 0;
     }
 
     // The record.
@@ -115,7 +74,7 @@
         if (lost()) {
             return;
         }
-        in(late(), () -> whenHere(() -> {
+        time.in(late(), () -> whenHere(() -> {
             Result result = record.apply(++places, command);
             if (command instanceof Command.Open && result.done()) {
                 renew(new SessionId(result.number()));
@@ -123,15 +82,15 @@
                 renew(change.session());
             }
             if (!lost()) {
-                in(late(), () -> answer.accept(result.done() ? new Answer.Done(result.number())
+                time.in(late(), () -> answer.accept(result.done() ? new Answer.Done(result.number())
                         : new Answer.Refused(Answer.Reason.valueOf(result.why().name()), result.text())));
             }
         }));
     }
 
     private void whenHere(Runnable what) {
-        if (now < recordAway) {
-            in(recordAway - now + 0.01, () -> whenHere(what));
+        if (time.now() < recordAway) {
+            time.in(recordAway - time.now() + 0.01, () -> whenHere(what));
         } else {
             what.run();
         }
@@ -140,20 +99,20 @@
     private void renew(SessionId session) {
         double seconds = record.seconds(session);
         if (seconds > 0) {
-            ends.put(session, now + seconds);
+            ends.put(session, time.now() + seconds);
         }
     }
 
     private void endSessions() {
         ends.entrySet().removeIf(end -> {
-            if (now > end.getValue() && now >= recordAway) {
+            if (time.now() > end.getValue() && time.now() >= recordAway) {
                 record.apply(++places, new Command.End(end.getKey()));
                 count("sessions ended by the record");
                 return true;
             }
             return false;
         });
-        in(LOOK, this::endSessions);
+        time.in(LOOK, this::endSessions);
     }
 
     // Owners.
@@ -180,17 +139,17 @@
             tick(mine);
         }
 
-        private double time() {
-            return 100 * number + now * rate;
+        private double clock() {
+            return 100 * number + time.now() * rate;
         }
 
         private void tick(int mine) {
-            if (run == mine && broken == null) {
+            if (run == mine && !isBroken()) {
                 if (!still) {
-                    owner.tick(time());
+                    owner.tick(clock());
                     twoAtOnce();
                 }
-                in(LOOK, () -> tick(mine));
+                time.in(LOOK, () -> tick(mine));
             }
         }
 
@@ -216,7 +175,7 @@
         }
 
         private void twoAtOnce() {
-            long holding = stations.stream().filter(each -> !each.still && each.owner.holds(each.time())).count();
+            long holding = stations.stream().filter(each -> !each.still && each.owner.holds(each.clock())).count();
             if (holding > 1 && !clocksStray) {
                 broken("two owners hold at once");
             }
@@ -228,12 +187,12 @@
             boolean[] heard = new boolean[1];
             command(command, answer -> hear(mine, () -> {
                 heard[0] = true;
-                owner.answered(time(), command, answer);
+                owner.answered(clock(), command, answer);
             }));
-            in(CALL, () -> hear(mine, () -> {
+            time.in(CALL, () -> hear(mine, () -> {
                 if (!heard[0]) {
                     count("calls unknown");
-                    owner.answered(time(), command, new Answer.Unknown(""));
+                    owner.answered(clock(), command, new Answer.Unknown(""));
                 }
             }));
         }
@@ -244,15 +203,15 @@
             if (lost()) {
                 return;
             }
-            in(late(), () -> whenHere(() -> {
+            time.in(late(), () -> whenHere(() -> {
                 boolean there = record.seconds(session) > 0;
                 DutyWorld.this.renew(session);
                 if (!lost()) {
-                    in(late(), () -> hear(mine, () -> {
+                    time.in(late(), () -> hear(mine, () -> {
                         if (there) {
-                            owner.renewed(time(), asked);
+                            owner.renewed(clock(), asked);
                         } else {
-                            owner.sessionOver(time());
+                            owner.sessionOver(clock());
                         }
                     }));
                 }
@@ -263,9 +222,9 @@
         public void look(DutyId duty) {
             int mine = run;
             if (!lost()) {
-                in(late(), () -> whenHere(() -> {
+                time.in(late(), () -> whenHere(() -> {
                     Item item = record.get(duty.progressKey());
-                    in(late(), () -> hear(mine, () -> owner.found(time(), item == null ? null : item.value())));
+                    time.in(late(), () -> hear(mine, () -> owner.found(clock(), item == null ? null : item.value())));
                 }));
             }
         }
@@ -274,18 +233,18 @@
         public void act(DutyId duty, Plan of, int step, Fence fence) {
             int mine = run;
             count("orders");
-            if (!owner.holds(time())) {
+            if (!owner.holds(clock())) {
                 broken("o" + number + " acts though its time is over");
             }
             Receiver receiver = receivers.get(step % RECEIVERS);
             if (!lost()) {
-                in(late(), () -> receiver.order(step, fence, verdict -> {
+                time.in(late(), () -> receiver.order(step, fence, verdict -> {
                     if (!lost()) {
-                        in(late(), () -> hear(mine, () -> owner.acted(time(), step, fence, verdict)));
+                        time.in(late(), () -> hear(mine, () -> owner.acted(clock(), step, fence, verdict)));
                     }
                 }));
             }
-            in(3 * ACT, () -> hear(mine, () -> owner.acted(time(), step, fence, Owner.Effect.UNKNOWN)));
+            time.in(3 * ACT, () -> hear(mine, () -> owner.acted(clock(), step, fence, Owner.Effect.UNKNOWN)));
         }
 
         @Override
@@ -309,10 +268,10 @@
 
         private void askRecord() {
             int mine = run;
-            in(late(), () -> whenHere(() -> {
+            time.in(late(), () -> whenHere(() -> {
                 Item item = record.get(DUTY.fenceKey());
                 long fence = item == null ? 0 : item.revision();
-                in(late(), () -> {
+                time.in(late(), () -> {
                     if (run == mine) {
                         gate.told(DUTY, new Fence(fence));
                     }
@@ -360,7 +319,7 @@
     }
 
     private void fault() {
-        if (now >= FAULTS) {
+        if (!faults()) {
             return;
         }
         Station station = stations.get(chance.nextInt(OWNERS));
@@ -369,7 +328,7 @@
             case 0, 1 -> {
                 count("owners stopped");
                 station.still = true;
-                in(lasts, station::goOn);
+                time.in(lasts, station::goOn);
             }
             case 2 -> {
                 count("owners started anew");
@@ -380,12 +339,12 @@
             case 3 -> receivers.get(chance.nextInt(RECEIVERS)).restart();
             default -> {
                 count("record away");
-                recordAway = now + lasts / 2;
+                recordAway = time.now() + lasts / 2;
                 // Whoever leads then counts all sessions from the start again.
-                in(lasts / 2, () -> ends.replaceAll((session, end) -> now + record.seconds(session)));
+                time.in(lasts / 2, () -> ends.replaceAll((session, end) -> time.now() + record.seconds(session)));
             }
         }
-        in(3 * chance.nextDouble(), this::fault);
+        time.in(3 * chance.nextDouble(), this::fault);
     }
 
     private Report play() {
@@ -397,14 +356,10 @@
         }
         endSessions();
         fault();
-        while (broken == null && !agenda.isEmpty() && agenda.peek().at <= END) {
-            Happening next = agenda.remove();
-            now = next.at;
-            next.what.run();
-        }
+        time.runWhile(() -> !isBroken(), END);
         if (firstNotBegun < plan.steps() || stations.stream().noneMatch(station -> station.owner.over())) {
             broken("the plan is not done: step " + firstNotBegun + " of " + plan.steps());
         }
-        return new Report(seed, broken, reached);
+        return report();
     }
 }
--- a/rig/src/main/java/embershift/rig/world/FleetWorld.java
+++ b/rig/src/main/java/embershift/rig/world/FleetWorld.java
@@ -23,23 +23,16 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
-import java.util.Random;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import java.util.stream.LongStream;
 
 /**
  * Owners of the rollout and of the lists, one after the other and for a while two at once, and nodes that are stopped, cut off, started anew
  * and late, in virtual time. Judged by what nodes acted on, never by what an owner believes.
  */
-public final class FleetWorld {
-
-    /** {@code broken}: null where all held; {@code reached}: what the world ever did. */
-    public record Report(long seed, String broken, Map<String, Long> reached) {
-    }
+public final class FleetWorld extends SeededWorld {
 
     private static final DutyId ROLLOUT = new DutyId("rollout");
     private static final DutyId LISTS = new DutyId("lists");
@@ -53,11 +46,6 @@
     private static final String CRASH = "crash";
     private static final Rollout.Terms TERMS = new Rollout.Terms(1, 4, 0.3, 3, 3, SILENT, 0.2, 0.8);
 
-    private final long seed;
-    private final Random chance;
-    private final Timeline time = new Timeline();
-    private final TreeMap<String, Long> reached = new TreeMap<>();
-    private String broken;
 
     // What the record has.
     private long revisionOfRecord = 1;
@@ -79,8 +67,7 @@
     private final List<Station> stations = new ArrayList<>();
 
     private FleetWorld(long seed) {
-        this.seed = seed;
-        chance = new Random(seed);
+        super(seed, FAULTS);
     }
 
     public static Report play(long seed) {
@@ -89,23 +76,7 @@
 
     /** The first broken world among the seeds, or null. */
     public static String firstBroken(long first, long many) {
-        return LongStream.range(first, first + many).parallel().mapToObj(FleetWorld::play)
-                .filter(report -> report.broken() != null).findAny()
-                .map(report -> "seed " + report.seed() + " " + report.broken()).orElse(null);
-    }
-
-    private void count(String what) {
-        reached.merge(what, 1L, Long::sum);
-    }
-
-    private void broken(String what) {
-        if (broken == null) {
-            broken = String.format(Locale.ROOT, "at %.3f s: %s", time.now(), what);
-        }
-    }
-
-    private boolean faults() {
-        return time.now() < FAULTS;
+        return firstBroken(FleetWorld::play, first, many);
     }
 
     /** Mostly soon; now and then long after. */
@@ -567,7 +538,7 @@
         time.every(0.7, this::fault);
         time.run(END);
         judge();
-        return new Report(seed, broken, reached);
+        return report();
     }
 
     private Map<String, String> hosts(long generation) {
--- a/rig/src/main/java/embershift/rig/world/ReleaseWorld.java
+++ b/rig/src/main/java/embershift/rig/world/ReleaseWorld.java
@@ -10,22 +10,15 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
-import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.LongStream;
 
 /**
  * A release by owners that overlap, over nodes that are cut off and a manager that knows no fence, whose calls are lost and late, in virtual
  * time. Judged by what the manager did, and by what nodes knew then.
  */
-public final class ReleaseWorld {
-
-    /** {@code broken}: null where all held; {@code reached}: what the world ever did. */
-    public record Report(long seed, String broken, Map<String, Long> reached) {
-    }
+public final class ReleaseWorld extends SeededWorld {
 
     private static final DutyId DUTY = new DutyId("release");
     private static final double FAULTS = 60;
@@ -34,11 +27,6 @@
     /** Seconds after which what is so must be known: an owner's call may be late on its way. */
     private static final double KNOWN = 11;
 
-    private final long seed;
-    private final Random chance;
-    private final Timeline time = new Timeline();
-    private final TreeMap<String, Long> reached = new TreeMap<>();
-    private String broken;
     private final ReleasePlan plan;
     private final TreeMap<String, Node> nodes = new TreeMap<>();
     private final TreeMap<String, Boolean> serving = new TreeMap<>();
@@ -46,7 +34,6 @@
     private Fence latest = Fence.NONE;
     private int step;
     private boolean done;
-    private boolean aborted;
     private String wish = "go";
     // The manager.
     private final Map<String, String> states = new HashMap<>();
@@ -68,8 +55,7 @@
     }
 
     private ReleaseWorld(long seed) {
-        this.seed = seed;
-        chance = new Random(seed);
+        super(seed, FAULTS);
         List<ReleasePlan.Part> parts = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             nodes.put("n" + i, new Node());
@@ -95,23 +81,7 @@
 
     /** The first broken world among the seeds, or null. */
     public static String firstBroken(long first, long many) {
-        return LongStream.range(first, first + many).parallel().mapToObj(ReleaseWorld::play)
-                .filter(report -> report.broken() != null).findAny()
-                .map(report -> "seed " + report.seed() + " " + report.broken()).orElse(null);
-    }
-
-    private void count(String what) {
-        reached.merge(what, 1L, Long::sum);
-    }
-
-    private void broken(String what) {
-        if (broken == null) {
-            broken = String.format(Locale.ROOT, "at %.3f s: %s", time.now(), what);
-        }
-    }
-
-    private boolean faults() {
-        return time.now() < FAULTS;
+        return firstBroken(ReleaseWorld::play, first, many);
     }
 
     private double late() {
@@ -331,7 +301,6 @@
                     over = true;
                     return;
                 }
-                aborted |= abort;
                 step = ended + 1;
                 if (step == plan.steps()) {
                     done = true;
@@ -405,6 +374,6 @@
             }
         });
         count(wish.equals("abort") ? "aborted" : "done");
-        return new Report(seed, broken, reached);
+        return report();
     }
 }
--- a/rig/src/main/java/embershift/rig/world/Timeline.java
+++ b/rig/src/main/java/embershift/rig/world/Timeline.java
@@ -1,6 +1,7 @@
 package embershift.rig.world;
 
 import java.util.PriorityQueue;
+import java.util.function.BooleanSupplier;
 
 /** Virtual time: what is due happens in its order, and what is due at the same time in the order in which it was asked for. */
 final class Timeline {
@@ -37,11 +38,16 @@
     }
 
     void run(double until) {
-        while (!agenda.isEmpty() && agenda.peek().at <= until) {
+        runWhile(() -> true, until);
+        now = until;
+    }
+
+    /** As long as that is so; the time stays that of what happened last. */
+    void runWhile(BooleanSupplier so, double until) {
+        while (so.getAsBoolean() && !agenda.isEmpty() && agenda.peek().at <= until) {
             Happening next = agenda.poll();
             now = next.at;
             next.what.run();
         }
-        now = until;
     }
 }
--- a/rig/src/test/java/embershift/rig/DutyWorldTest.java
+++ b/rig/src/test/java/embershift/rig/DutyWorldTest.java
@@ -16,7 +16,6 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import java.net.URLClassLoader;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -64,10 +63,8 @@
     @Test(dataProvider = "mistakes")
     public void knownMistakeShows(String where, String from, String to) throws Exception {
         Path source = Path.of("..", "fleet/src/main/java/embershift/fleet", where + ".java");
-        try (Mutation mutation = new Mutation(source, from, to); URLClassLoader loader = mutation.loader()) {
-            Object broken = loader.loadClass("embershift.rig.world.DutyWorld").getMethod("firstBroken", long.class, long.class)
-                    .invoke(null, 1, LOOK);
-            assertNotNull(broken, to + ": not seen in " + LOOK + " worlds");
+        try (Mutation mutation = new Mutation(source, from, to)) {
+            assertNotNull(mutation.firstBroken("DutyWorld", 1, LOOK), to + ": not seen in " + LOOK + " worlds");
         }
     }
 
--- a/rig/src/test/java/embershift/rig/FleetWorldTest.java
+++ b/rig/src/test/java/embershift/rig/FleetWorldTest.java
@@ -8,7 +8,6 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import java.net.URLClassLoader;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -65,10 +64,8 @@
     @Test(dataProvider = "mistakes")
     public void knownMistakeShows(String where, String from, String to) throws Exception {
         Path source = Path.of("..", "fleet/src/main/java/embershift/fleet", where + ".java");
-        try (Mutation mutation = new Mutation(source, from, to); URLClassLoader loader = mutation.loader()) {
-            Object broken = loader.loadClass("embershift.rig.world.FleetWorld").getMethod("firstBroken", long.class, long.class)
-                    .invoke(null, 1, LOOK);
-            assertNotNull(broken, to + ": not seen in " + LOOK + " worlds");
+        try (Mutation mutation = new Mutation(source, from, to)) {
+            assertNotNull(mutation.firstBroken("FleetWorld", 1, LOOK), to + ": not seen in " + LOOK + " worlds");
         }
     }
 }
--- a/rig/src/test/java/embershift/rig/ReleaseWorldTest.java
+++ b/rig/src/test/java/embershift/rig/ReleaseWorldTest.java
@@ -8,7 +8,6 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import java.net.URLClassLoader;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -52,11 +51,10 @@
     public void knownMistakeShows(String from, String to) throws Exception {
         Path source = Path.of("..", "fleet/src/main/java/embershift/fleet",
                 from.startsWith("return name") ? "ReleasePlan.java" : "Release.java");
-        try (Mutation mutation = new Mutation(source, from, to); URLClassLoader loader = mutation.loader()) {
+        try (Mutation mutation = new Mutation(source, from, to)) {
             Object broken;
             try {
-                broken = loader.loadClass("embershift.rig.world.ReleaseWorld").getMethod("firstBroken", long.class, long.class)
-                        .invoke(null, 1, LOOK);
+                broken = mutation.firstBroken("ReleaseWorld", 1, LOOK);
             } catch (ReflectiveOperationException e) {
                 broken = e;
             }
--- a/rig/src/test/java/embershift/rig/WorldsTest.java
+++ b/rig/src/test/java/embershift/rig/WorldsTest.java
@@ -11,8 +11,6 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import java.lang.reflect.Method;
-import java.net.URLClassLoader;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -128,10 +126,9 @@
     @Test(dataProvider = "mistakes")
     public void knownMistakeShows(String name, String where, String from, String to) throws Exception {
         String[] parts = where.split("/");
-        try (Mutation mutation = new Mutation(source(parts[0], parts[1]), from, to); URLClassLoader loader = mutation.loader()) {
-            Method firstBroken = loader.loadClass("embershift.rig.world.Worlds").getMethod("firstBroken", long.class, long.class);
-            Object broken = SHOWN.containsKey(name) ? firstBroken.invoke(null, SHOWN.get(name), 1) : null;
-            broken = broken == null ? firstBroken.invoke(null, 1, LOOK) : broken;
+        try (Mutation mutation = new Mutation(source(parts[0], parts[1]), from, to)) {
+            Object broken = SHOWN.containsKey(name) ? mutation.firstBroken("Worlds", SHOWN.get(name), 1) : null;
+            broken = broken == null ? mutation.firstBroken("Worlds", 1, LOOK) : broken;
             assertNotNull(broken, name + ": not seen in " + LOOK + " worlds");
             System.out.println(name + ": " + broken.toString().substring(0, Math.min(110, broken.toString().length())));
         }
