--- a/deploy/acceptance.sh
+++ b/deploy/acceptance.sh
@@ -10,6 +10,8 @@
 #
 # Whole outputs are kept in target/acceptance/. A failed seed does not end the row of the others. Exit status: 0 every gate
 # passed, 1 one failed or was not run, 2 the call can't be carried out. EMBERSHIFT_KIT names the kit where it lies elsewhere.
+# EMBERSHIFT_BENCH_CPUS, such as 0,1,2,3, goes to the bench as its --cpus. What the bench wants beside a site file is laid by
+# sites/lay.sh for the sites there.
 set -u
 wrong() { printf 'acceptance: %s\n' "$1" >&2; exit 2; }
 
@@ -39,6 +41,21 @@
 [ -n "$why" ] && [ ${#why} -lt 100 ] || wrong "the sentence for the journal has ${#why} characters: 1 to 99 are taken"
 [ -x "$bench" ] || wrong "no bench at $bench: the operators' kit is not here"
 [ -f "$site" ] || wrong "no site file at $site"
+pinned=()
+if [ -n "${EMBERSHIFT_BENCH_CPUS:-}" ]; then
+  [[ $EMBERSHIFT_BENCH_CPUS =~ ^[0-9]{1,4}(,[0-9]{1,4})*$ ]] || wrong "EMBERSHIFT_BENCH_CPUS is '$EMBERSHIFT_BENCH_CPUS': wanted as 0,1,2,3"
+  pinned=(--cpus "$EMBERSHIFT_BENCH_CPUS")
+fi
+# The bench looks for these beside the site file, and tells of real.json alone.
+missing() {
+  for file in real.json wire.json unlock.txt; do
+    [ -f "$(dirname "$site")/$file" ] || { printf '%s' "$file"; return; }
+  done
+}
+if [ -n "$(missing)" ] && [ "$(cd "$(dirname "$site")" && pwd -P)" = "$(cd deploy/sites && pwd -P)" ]; then
+  deploy/sites/lay.sh || exit 2
+fi
+[ -z "$(missing)" ] || wrong "no $(missing) beside $site, where the bench looks for it"
 
 kept=target/acceptance
 mkdir -p "$kept" || exit 2
@@ -50,7 +67,7 @@
   begun=$SECONDS
   seeded=()
   [ "$seed" = - ] || seeded=(--seed "$seed")
-  "$bench" score "$site" ${call[@]+"${call[@]}"} ${seeded[@]+"${seeded[@]}"} --why "$why, seed $seed" >"$out" 2>&1 </dev/null
+  "$bench" score "$site" ${call[@]+"${call[@]}"} ${seeded[@]+"${seeded[@]}"} ${pinned[@]+"${pinned[@]}"} --why "$why, seed $seed" >"$out" 2>&1 </dev/null
   status=$?
   gate=$(sed -n 's/^GATE \([a-z]*\).*/\1/p' "$out" | tail -n 1)
   score=$(sed -n 's/^score of the real nodes \([0-9.]*\).*/\1/p' "$out" | tail -n 1)
