--- /dev/null
+++ b/node/src/test/java/embershift/transport/SocketOptionsTest.java
@@ -0,0 +1,69 @@
+package embershift.transport;
+
+import static org.testng.Assert.assertTrue;
+
+import embershift.Loopback;
+import org.testng.annotations.Test;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+
+import java.io.IOException;
+import java.lang.reflect.Field;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** What the system is told of each socket that the loop opens or accepts. */
+public class SocketOptionsTest extends Loopback {
+
+    /** Asks the system, not the program: what a library was told need not have got there. */
+    private static boolean sendsAtOnce(Link link) throws ReflectiveOperationException, IOException {
+        Field connection = Link.class.getDeclaredField("connection");
+        connection.setAccessible(true);
+        return ((StreamConnection) connection.get(link)).getOption(Options.TCP_NODELAY);
+    }
+
+    private static final class Deaf implements Link.Events {
+        private final CompletableFuture<Void> up = new CompletableFuture<>();
+
+        @Override
+        public void connected() {
+            up.complete(null);
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            // Nothing is said here.
+        }
+
+        @Override
+        public void ended() {
+            // As above.
+        }
+
+        @Override
+        public void broken() {
+            // As above.
+        }
+    }
+
+    @Test
+    public void smallWritesOnWhatIsOpenedAndAcceptedWaitForNoAcknowledgement() throws Exception {
+        for (boolean shared : new boolean[] {false, true}) {
+            CompletableFuture<Link> accepted = new CompletableFuture<>();
+            Loop.Listening listening = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), shared,
+                    () -> true, accepted::complete);
+            talk(listening.address(), "");
+            Link link = accepted.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+            assertTrue(on(() -> sendsAtOnce(link)));
+        }
+        ServerSocket host = listening();
+        Deaf events = new Deaf();
+        Link opened = on(() -> loop.connect((InetSocketAddress) host.getLocalSocketAddress(), events));
+        events.up.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        assertTrue(on(() -> sendsAtOnce(opened)));
+    }
+}
