Declines are counted by reason, in the node's counters and in telemetry

Where no host takes a tunnel, what stands at most of the ready hosts is told (Obstacles). Nothing is decided by a reason; the draw, the gate and the advice are as they were.

--- a/core/src/main/java/embershift/model/Decisions.java
+++ b/core/src/main/java/embershift/model/Decisions.java
@@ -8,8 +8,8 @@
 
     void cancel(TunnelId id, int setup);
 
-    /** Final answer: not taken, trying again is harmless; 0 gives no advice on when to return. */
-    void decline(TunnelId id, double returnAfter);
+    /** Final answer: not taken, trying again is harmless; 0 gives no advice on when to return. The reason is only counted. */
+    void decline(TunnelId id, double returnAfter, DeclineReason reason);
 
     /** Final answer: failed, with no promise about its effect. */
     void closeWithError(TunnelId id);
--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -1,5 +1,6 @@
 package embershift.policy;
 
+import embershift.model.DeclineReason;
 import embershift.model.Decisions;
 import embershift.model.Deployment;
 import embershift.model.Deployment.DedupScope;
@@ -109,7 +110,6 @@
     private boolean surveyed;
     private double mean;
     private int active;
-    private int heard;
     private int counted;
     private boolean fewHeard;
     private boolean nearTake;
@@ -370,10 +370,14 @@
 
     /** Sends the tunnel's next setup, or gives its final answer at once where none can or may be sent. */
     private void place(Tunnel tunnel) {
-        double left = tunnel.clientGivesUpAt - now;
-        boolean worthSending = !farewell.begun() && tunnel.setups < deployment.mostSetups()
-                && left > LEAST_OF_GOAL * tunnel.profile.setupGoal() && mayRunAgain(tunnel)
-                && (tunnel.setups == 0 || allowance.left(now) >= 1);  // rule 5
+        double needed = LEAST_OF_GOAL * tunnel.profile.setupGoal();
+        tunnel.obstacle = farewell.begun() ? DeclineReason.NODE_LEAVES
+                : tunnel.setups >= deployment.mostSetups() ? DeclineReason.SETUPS_SPENT
+                : tunnel.clientGivesUpAt - now <= needed ? DeclineReason.TIME_SPENT
+                : tunnel.setups > 0 && allowance.left(now) < 1 ? DeclineReason.BUDGET_SPENT  // rule 5
+                : null;
+        boolean worthSending = tunnel.obstacle == null && mayRunAgain(tunnel);
+        tunnel.obstacle = worthSending && pace.full() ? DeclineReason.SETUPS_HELD_BACK : tunnel.obstacle;
         if (worthSending && pace.full() && mayWait(tunnel)) {
             waiting.add(tunnel);
             return;
@@ -416,9 +420,6 @@
 
     /** Places the tunnels whose asked hosts have answered, or have not for too long. */
     private void placeAnswered() {
-        if (asking.isEmpty()) {
-            return;
-        }
         List<Tunnel> asked = asking;
         asking = new ArrayList<>();
         for (Tunnel tunnel : asked) {
@@ -437,7 +438,9 @@
     private void giveUp(Tunnel tunnel) {
         table.remove(tunnel.id);
         if (mayDecline(tunnel)) {
-            decisions.decline(tunnel.id, returnAdvice());
+            double most = Math.min(PERIOD, deployment.longestReturn()) / 1.5;
+            double advice = deployment.adviceOnReturn() ? most * (0.5 + chance.next()) : 0;
+            decisions.decline(tunnel.id, advice, tunnel.obstacle);
         } else {
             decisions.closeWithError(tunnel.id);
         }
@@ -490,14 +493,13 @@
     }
 
     private void send(Tunnel tunnel, Host host) {
-        double left = tunnel.clientGivesUpAt - now;
         // Once timed out, a once-only tunnel could neither be sent again nor declined.
         boolean last = tunnel.setups + 1 >= deployment.mostSetups()
                 || tunnel.profile.repeat() == Repeat.ONCE_ONLY;
         // A slow session store, or whatever all setups share, only queues those cut off at the goal again.
         double usual = opened.sum(now) / Math.max(1, opened.count(now));
         double patience = SLOW_SETUP * Math.max(tunnel.profile.setupGoal(), usual);
-        double timeOut = last ? 0 : Math.min(left, patience);
+        double timeOut = last ? 0 : Math.min(tunnel.clientGivesUpAt - now, patience);
         if (tunnel.setups == 0) {
             tunnel.firstSentAt = now;
         } else {
@@ -523,11 +525,6 @@
         }
     }
 
-    private double returnAdvice() {
-        double longest = Math.min(PERIOD, deployment.longestReturn());
-        return deployment.adviceOnReturn() ? longest * (0.5 + chance.next()) / 1.5 : 0;
-    }
-
     // ---- The draw ----
 
     /**
@@ -542,12 +539,8 @@
         if (home != null) {
             return home;
         }
-        List<Host> eligible = new ArrayList<>();
-        for (Host host : roll) {
-            if ((!excess || host.cold()) && mayTake(host, tunnel)) {
-                eligible.add(host);
-            }
-        }
+        List<Host> eligible = new ArrayList<>(roll);
+        eligible.removeIf(host -> excess && !host.cold() || !mayTake(host, tunnel));
         if (!tunnel.tried.containsAll(eligible)) {
             eligible.removeAll(tunnel.tried);
         }
@@ -564,16 +557,24 @@
         if (!mayAsk(tunnel) && !fewHeard && eligible.stream().anyMatch(Host::fresh)) {
             eligible.removeIf(host -> !host.fresh());
         }
-        return eligible.isEmpty() ? null : drawn(narrowed(eligible), chance.next() * SPAN);
+        if (eligible.isEmpty()) {
+            tunnel.obstacle = excess && admitted > 0 ? DeclineReason.EXCESS : Obstacles.commonest(roll,
+                    this::used, host -> late(host, tunnel), host -> mayTake(host, tunnel));
+            return null;
+        }
+        return drawn(narrowed(eligible), chance.next() * SPAN);
     }
 
     /** Whether rules, health and list let this host take the tunnel now. */
     private boolean mayTake(Host host, Tunnel tunnel) {
-        return used(host) && dropsRepeats(tunnel, host)
-                && (noneTimely || !host.lateness.lasts(now, tunnel.profile.messageGoal()))
+        return used(host) && dropsRepeats(tunnel, host) && !late(host, tunnel)
                 && (!host.cold() && !hollow(host) || host.warming.mayTake(now, warmHostCanTake));
     }
 
+    private boolean late(Host host, Tunnel tunnel) {
+        return !noneTimely && host.lateness.lasts(now, tunnel.profile.messageGoal());
+    }
+
     /**
      * Whether a host stands out as empty in a busy fleet. Guards against one that shed its tunnels or died
      * unlisted, which all nodes would rush together, and so again and again: each keeps to its part. One that
@@ -599,18 +600,14 @@
      */
     private Host drawnForGroup(Tunnel tunnel) {
         boolean nearOnly = mean < IDLE && nearTake;
-        double most = limit(HOLDER_SLACK);
-        List<Host> holding = new ArrayList<>();
-        for (Host host : holders.of(tunnel.group)) {
-            if ((host.near() || !nearOnly) && mayTake(host, tunnel) && !tunnel.tried.contains(host)
-                    && count(host) <= most) {
-                holding.add(host);
-            }
-        }
+        double holderLimit = limit(HOLDER_SLACK);
+        List<Host> holding = new ArrayList<>(holders.of(tunnel.group));
+        holding.removeIf(host -> nearOnly && !host.near() || !mayTake(host, tunnel)
+                || tunnel.tried.contains(host) || count(host) > holderLimit);
         if (!holding.isEmpty()) {
             return drawn(holding, chance.next() * SPAN);
         }
-        most = limit(LEVEL_SLACK);
+        double most = limit(LEVEL_SLACK);
         long number = Seats.numberOf(tunnel.group.name());
         int draws = mean > BUSY ? 1 : GROUP_DRAWS;
         for (int k = 0; draws > 0 && k < 4 * seats.size(); k++) {
@@ -665,7 +662,7 @@
         healthy.removeIf(host -> host.cold() || host.noted
                 || !noneTimely && host.lateness.lasts(now, longestMessage));
         counted = Math.max(1, healthy.size());
-        heard = 0;
+        int heard = 0;
         for (Host host : healthy) {
             if (host.heard()) {
                 heard++;
--- a/core/src/main/java/embershift/policy/Tunnel.java
+++ b/core/src/main/java/embershift/policy/Tunnel.java
@@ -1,6 +1,7 @@
 package embershift.policy;
 
 import embershift.policy.Policy.Host;
+import embershift.model.DeclineReason;
 import embershift.model.Deployment.Profile;
 import embershift.model.GroupId;
 import embershift.model.SubjectId;
@@ -28,6 +29,8 @@
     int asks;
     Host asked;
     double askedUntil;
+    /** Why it can't be sent now; counted where it is declined. */
+    DeclineReason obstacle;
 
     Tunnel(TunnelId id, Profile profile, SubjectId subject, GroupId group, double clientGivesUpAt) {
         this.id = id;
--- a/core/src/test/java/embershift/policy/Node.java
+++ b/core/src/test/java/embershift/policy/Node.java
@@ -1,5 +1,6 @@
 package embershift.policy;
 
+import embershift.model.DeclineReason;
 import embershift.model.Decisions;
 import embershift.model.Deployment;
 import embershift.model.Deployment.Budget;
@@ -30,6 +31,8 @@
     /** Setups sent from the start on. */
     int placed;
     final List<String> said = new ArrayList<>();
+    /** Why tunnels were declined, from the start on. */
+    final List<DeclineReason> reasons = new ArrayList<>();
     double now = 100;
     double lastTimeOut;
 
@@ -154,7 +157,8 @@
     }
 
     @Override
-    public void decline(TunnelId id, double returnAfter) {
+    public void decline(TunnelId id, double returnAfter, DeclineReason reason) {
+        reasons.add(reason);
         said.add("decline " + id.name() + (returnAfter > 0 ? " with advice" : ""));
     }
 
--- a/emulator/src/main/java/embershift/emulator/baseline/Plain.java
+++ b/emulator/src/main/java/embershift/emulator/baseline/Plain.java
@@ -1,6 +1,7 @@
 package embershift.emulator.baseline;
 
 import embershift.emulator.world.Module;
+import embershift.model.DeclineReason;
 import embershift.model.Decisions;
 import embershift.model.Deployment;
 import embershift.model.Deployment.DedupScope;
@@ -238,7 +239,7 @@
             rows.remove(row.id);
             if (mayRunAgain(row) && (!row.mayHaveRun || row.profile.repeat() != Repeat.REFERENCED
                     || row.profile.dedupScope() == DedupScope.ALL)) {
-                decisions.decline(row.id, 0);
+                decisions.decline(row.id, 0, DeclineReason.NO_HOST_READY);
             } else {
                 decisions.closeWithError(row.id);
             }
--- a/emulator/src/main/java/embershift/emulator/world/NodeShell.java
+++ b/emulator/src/main/java/embershift/emulator/world/NodeShell.java
@@ -1,5 +1,6 @@
 package embershift.emulator.world;
 
+import embershift.model.DeclineReason;
 import embershift.model.Decisions;
 import embershift.model.GroupId;
 import embershift.model.HostId;
@@ -323,7 +324,7 @@
     }
 
     @Override
-    public void decline(TunnelId id, double returnAfter) {
+    public void decline(TunnelId id, double returnAfter, DeclineReason reason) {
         answer(id, Witness.Answer.DECLINED, returnAfter);
     }
 
--- a/emulator/src/test/java/embershift/emulator/MutationsTest.java
+++ b/emulator/src/test/java/embershift/emulator/MutationsTest.java
@@ -6,6 +6,7 @@
 import embershift.emulator.day.Day;
 import embershift.emulator.experiment.Result;
 import embershift.emulator.world.Module;
+import embershift.model.DeclineReason;
 import embershift.model.Decisions;
 import embershift.model.Deployment;
 import embershift.model.Deployment.DedupScope;
@@ -97,7 +98,7 @@
     private static void again(Decisions behind, String method, Object[] arguments, Runnable unchanged) {
         unchanged.run();
         if (method.equals("decline")) {
-            behind.decline((TunnelId) arguments[0], 0);
+            behind.decline((TunnelId) arguments[0], 0, DeclineReason.EXCESS);
         }
     }
 
@@ -109,7 +110,7 @@
 
     private static void promise(Decisions behind, String method, Object[] arguments, Runnable unchanged) {
         if (method.equals("closeWithError")) {
-            behind.decline((TunnelId) arguments[0], 0);
+            behind.decline((TunnelId) arguments[0], 0, DeclineReason.EXCESS);
         } else {
             unchanged.run();
         }
--- a/node/src/main/java/embershift/adapter/Replies.java
+++ b/node/src/main/java/embershift/adapter/Replies.java
@@ -1,5 +1,6 @@
 package embershift.adapter;
 
+import embershift.model.DeclineReason;
 import embershift.model.Decisions;
 import embershift.model.HostId;
 import embershift.model.TunnelId;
@@ -33,7 +34,7 @@
     }
 
     @Override
-    public void decline(TunnelId id, double returnAfter) {
+    public void decline(TunnelId id, double returnAfter, DeclineReason reason) {
         action("BOUNCE").append(' ').append(id.name()).append(' ');
         seconds(returnAfter);
     }
--- a/node/src/main/java/embershift/operations/Desk.java
+++ b/node/src/main/java/embershift/operations/Desk.java
@@ -1,5 +1,6 @@
 package embershift.operations;
 
+import embershift.model.DeclineReason;
 import embershift.model.HostId;
 import embershift.model.ProfileId;
 import embershift.protocol.HttpAnswer;
@@ -10,6 +11,7 @@
 import embershift.routing.Tally.Outcome;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -82,7 +84,12 @@
         out.append("},\"relayed\":").append(tally.of(Tally.RELAYED))
                 .append(",\"open_requests\":").append(router.openTunnels())
                 .append(",\"registry_entries\":").append(router.listedHosts())
-                .append(",\"out_of_rotation\":").append(router.avoidedHosts()).append('}');
+                .append(",\"out_of_rotation\":").append(router.avoidedHosts())
+                .append(",\"declined\":{\"want_of_descriptors\":").append(tally.of(Tally.NO_DESCRIPTORS));
+        for (DeclineReason reason : DeclineReason.values()) {
+            out.append(',').append(Json.quoted(reason.name().toLowerCase(Locale.ROOT))).append(':').append(tally.of(reason));
+        }
+        out.append("}}");
         return HttpAnswer.of(200, out.toString());
     }
 }
--- a/node/src/main/java/embershift/routing/Passage.java
+++ b/node/src/main/java/embershift/routing/Passage.java
@@ -1,5 +1,6 @@
 package embershift.routing;
 
+import embershift.model.DeclineReason;
 import embershift.model.HostId;
 import embershift.model.SetupEnd;
 import embershift.model.TunnelId;
@@ -198,6 +199,14 @@
     }
 
     /** The final answer of a tunnel that no host took. */
+    /** The final answer that the module declines it. */
+    void decline(String line, DeclineReason reason) {
+        if (state == State.TAKEN) {
+            router.tally().count(reason);
+        }
+        answer(line, Outcome.DECLINED);
+    }
+
     void answer(String line, Outcome outcome) {
         if (state != State.TAKEN) {
             return;
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -2,6 +2,7 @@
 
 import embershift.policy.Filling;
 import embershift.policy.Policy;
+import embershift.model.DeclineReason;
 import embershift.model.Decisions;
 import embershift.model.Deployment;
 import embershift.model.HostId;
@@ -423,7 +424,7 @@
         if (!strangers.makeRoom() && opening.standingAt() == null) {
             // Guards the descriptors: with none left, nothing could be taken in or answered at all. What
             // stood before has been promised its place.
-            tally.count("tunnels declined for want of descriptors");
+            tally.count(Tally.NO_DESCRIPTORS);
             passage.answer("BUSY", Tally.Outcome.DECLINED);
             return;
         }
@@ -530,11 +531,11 @@
     }
 
     @Override
-    public void decline(TunnelId id, double returnAfter) {
+    public void decline(TunnelId id, double returnAfter, DeclineReason reason) {
         Passage passage = passages.get(id);
         if (passage != null) {
             long millis = (long) Math.ceil(returnAfter * 1000);
-            passage.answer(millis > 0 ? "BUSY " + millis : "BUSY", Tally.Outcome.DECLINED);
+            passage.decline(millis > 0 ? "BUSY " + millis : "BUSY", reason);
         }
     }
 
--- a/node/src/main/java/embershift/routing/Tally.java
+++ b/node/src/main/java/embershift/routing/Tally.java
@@ -1,11 +1,13 @@
 package embershift.routing;
 
+import embershift.model.DeclineReason;
 import embershift.model.Deployment;
 import embershift.model.ProfileId;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -32,6 +34,9 @@
     /** Setups whose line was written whole to a host. */
     public static final String RELAYED = "setups written whole";
 
+    /** Tunnels that the node itself declined, unseen by the module. */
+    public static final String NO_DESCRIPTORS = "tunnels declined for want of descriptors";
+
     private final Map<String, long[]> counts = new TreeMap<>();
     /** The profiles of the deployment, in its order; others are counted for none. */
     private final Map<ProfileId, long[]> profiles = new LinkedHashMap<>();
@@ -52,6 +57,15 @@
         }
     }
 
+    void count(DeclineReason reason) {
+        count(name(reason));
+    }
+
+    /** What a reason is counted by. */
+    static String name(DeclineReason reason) {
+        return "tunnels declined: " + reason.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    }
+
     void add(String name, long many) {
         counts.computeIfAbsent(name, key -> new long[1])[0] += many;
     }
@@ -62,6 +76,10 @@
         return count == null ? 0 : count[0];
     }
 
+    public long of(DeclineReason reason) {
+        return of(name(reason));
+    }
+
     /** The deployment's profiles, in its order. */
     public List<ProfileId> profiles() {
         return new ArrayList<>(profiles.keySet());
--- a/node/src/test/java/embershift/operations/OperatorsTest.java
+++ b/node/src/test/java/embershift/operations/OperatorsTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import embershift.Loopback;
+import embershift.model.DeclineReason;
 import embershift.protocol.HttpReply;
 import embershift.protocol.NodeConfiguration;
 import embershift.routing.Router;
@@ -16,7 +17,9 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 
 /** Operators' calls on loopback, beside the tunnels that they ask about. */
 public class OperatorsTest extends Loopback {
@@ -89,10 +92,17 @@
         assertEquals(body, expected);
     }
 
-    private static String figures(int fulfilled, int throttled, int faulted, int relayed, int open, int avoided) {
+    /** Each decline tells its one reason, so as many reasons are told as tunnels are throttled. */
+    private static String figures(int fulfilled, int faulted, int relayed, int open, int avoided, DeclineReason... declined) {
+        StringBuilder reasons = new StringBuilder();
+        for (DeclineReason reason : DeclineReason.values()) {
+            reasons.append(",\"").append(reason.name().toLowerCase(Locale.ROOT)).append("\":")
+                    .append(Collections.frequency(List.of(declined), reason));
+        }
         return ("{\"operations\":{\"p\\\"q\":{\"fulfilled\":%d,\"throttled\":%d,\"faulted\":%d}},"
-                + "\"relayed\":%d,\"open_requests\":%d,\"registry_entries\":1,\"out_of_rotation\":%d}")
-                .formatted(fulfilled, throttled, faulted, relayed, open, avoided);
+                + "\"relayed\":%d,\"open_requests\":%d,\"registry_entries\":1,\"out_of_rotation\":%d,"
+                + "\"declined\":{\"want_of_descriptors\":0%s}}")
+                .formatted(fulfilled, declined.length, faulted, relayed, open, avoided, reasons);
     }
 
     @Test
@@ -119,32 +129,32 @@
             assertEquals(call("POST", "/api/exclude/s0").status(), 200);
         }
         assertTrue(hear(talk(clients, "OPEN a k c=p\"q,d=3000\r\n")).startsWith("BUSY"));
-        telemetryBecomes(figures(0, 1, 0, 0, 0, 1));
+        telemetryBecomes(figures(0, 0, 0, 0, 1, DeclineReason.NO_HOST_READY));
         for (int i = 0; i < 2; i++) {
             assertEquals(call("POST", "/api/include/s%30").status(), 200);
         }
-        telemetryBecomes(figures(0, 1, 0, 0, 0, 0));
+        telemetryBecomes(figures(0, 0, 0, 0, 0, DeclineReason.NO_HOST_READY));
     }
 
     @Test
     public void figuresCountEachTunnelOnceByItsAnswer() throws Exception {
         ServerSocket host = listening();
         start(1024, host);
-        telemetryBecomes(figures(0, 0, 0, 0, 0, 0));
+        telemetryBecomes(figures(0, 0, 0, 0, 0));
         Socket[] opened = tunnel(host, "a");
         say(opened[1], "UP r\r\n");
         assertEquals(hear(opened[0]), "UP r");
-        telemetryBecomes(figures(1, 0, 0, 1, 1, 0));
+        telemetryBecomes(figures(1, 0, 1, 1, 0));
         Socket[] failed = tunnel(host, "b");
         say(failed[1], "ERR\r\n");
         assertTrue(hear(failed[0]).startsWith("ERR"));
-        telemetryBecomes(figures(1, 0, 1, 2, 1, 1));
+        telemetryBecomes(figures(1, 1, 2, 1, 1));
         host.close();
         Socket declined = talk(clients, "OPEN c k c=p\"q,d=3000\r\n");
         assertTrue(hear(declined).startsWith("BUSY"));
         say(opened[1], "BYE\r\n");
         opened[1].close();
-        telemetryBecomes(figures(1, 1, 1, 2, 0, 1));
+        telemetryBecomes(figures(1, 1, 2, 0, 1, DeclineReason.HOSTS_SILENT));
     }
 
     @Test
