Nothing goes on after a stop's answer, a window counts when the line goes out, last words are heard

The window of a referenced tunnel was looked at when the module decided, and its line went out up to a connect time-out later. Link.write, where it found a reset, closed over what the peer had said before it.

Change: Passage.answer gives up a setup that is out. A tunnel that may have run is not written past its window. A referenced tunnel whose window is over by the time-out waits as a once-only one does. Behind a broken write, what lies there is read.

--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -493,18 +493,19 @@
     }
 
     private void send(Tunnel tunnel, Host host) {
-        // Once timed out, a once-only tunnel could neither be sent again nor declined.
-        boolean last = tunnel.setups + 1 >= deployment.mostSetups()
-                || tunnel.profile.repeat() == Repeat.ONCE_ONLY;
-        // A slow session store, or whatever all setups share, only queues those cut off at the goal again.
-        double usual = opened.sum(now) / Math.max(1, opened.count(now));
-        double patience = SLOW_SETUP * Math.max(tunnel.profile.setupGoal(), usual);
-        double timeOut = last ? 0 : Math.min(tunnel.clientGivesUpAt - now, patience);
         if (tunnel.setups == 0) {
             tunnel.firstSentAt = now;
         } else {
             allowance.spent(now);
         }
+        // A slow session store, or whatever all setups share, only queues those cut off at the goal again.
+        double usual = opened.sum(now) / Math.max(1, opened.count(now));
+        double patience = SLOW_SETUP * Math.max(tunnel.profile.setupGoal(), usual);
+        // Timed out, a once-only tunnel, or one whose window is over by then, could neither go again nor be declined.
+        boolean last = tunnel.setups + 1 >= deployment.mostSetups() || tunnel.profile.repeat() == Repeat.ONCE_ONLY
+                || tunnel.profile.repeat() == Repeat.REFERENCED
+                && now + patience >= tunnel.firstSentAt + tunnel.profile.dedupWindow();
+        double timeOut = last ? 0 : Math.min(tunnel.clientGivesUpAt - now, patience);
         tunnel.setups++;
         tunnel.out = true;
         pace.sent();
--- a/node/src/main/java/embershift/routing/Passage.java
+++ b/node/src/main/java/embershift/routing/Passage.java
@@ -45,6 +45,9 @@
     /** The setup that was sent last, and all that is known of it. */
     private Setup setup;
     private int setups;
+    private double firstSentAt;
+    /** Until when it may be sent again, once it may have run: the module's word is older than a host's late connection. */
+    private double repeatsUntil = Double.POSITIVE_INFINITY;
     private Trail trail;
     private Tail tail;
 
@@ -114,9 +117,6 @@
         router.tally().count(counted);
         router.hear(news -> news.tunnelLeft(id));
         answer("ERR " + why, Outcome.CLOSED_WITH_ERROR);
-        if (setup != null) {
-            setup.cancel();
-        }
     }
 
     /** Says what is wrong with a first line, and ends the connection. */
@@ -189,6 +189,7 @@
         }
         double left = timeLeft(router.now());
         setup = new Setup(contact, setups++);
+        firstSentAt = setups == 1 ? setup.sentAt : firstSentAt;
         setup.begin(timeOut == 0 ? left : Math.min(left, timeOut));
     }
 
@@ -198,7 +199,7 @@
         }
     }
 
-    /** The final answer of a tunnel that no host took. */
+    /** The final answer of a tunnel that no host took; nothing goes on for it after that, though a setup be out. */
     /** The final answer that the module declines it. */
     void decline(String line, DeclineReason reason) {
         if (state == State.TAKEN) {
@@ -215,6 +216,9 @@
         client.write(Line.of(line));
         over();
         client.finish();
+        if (setup != null) {
+            setup.cancel();
+        }
         router.forget(this);
     }
 
@@ -486,9 +490,10 @@
                 return;
             }
             double wait = waitsUntil - router.now();
-            if (wait <= 0 || !standing() && !contact.takesNew()) {
+            if (wait <= 0 || !standing() && !contact.takesNew() || router.now() >= repeatsUntil) {
                 // This node came late to it, or was told meanwhile that the host drains or is gone: by the time that the
-                // connection took, the grace may be over. Neither is a host out of reach.
+                // connection took, the grace may be over, and so may the time in which a repeat is dropped (rule 2).
+                // None of these is a host out of reach.
                 end(SetupEnd.NOT_SENT, Report.NONE);
                 return;
             }
@@ -572,6 +577,9 @@
                 answer("ERR host " + end.name().toLowerCase(java.util.Locale.ROOT), Outcome.CLOSED_WITH_ERROR);
                 return;
             }
+            if (!end.neverRan()) {
+                repeatsUntil = firstSentAt + router.repeatableFor(opening.profile());
+            }
             tellEnd(this, end, report, state != State.TAKEN);
         }
 
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -8,6 +8,7 @@
 import embershift.model.HostId;
 import embershift.model.Listing;
 import embershift.model.News;
+import embershift.model.ProfileId;
 import embershift.model.TunnelId;
 import embershift.protocol.NodeConfiguration;
 import embershift.protocol.Opening;
@@ -22,6 +23,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -434,7 +436,7 @@
             }
             return;
         }
-        if (deployment.profiles().stream().noneMatch(profile -> profile.id().equals(opening.profile()))) {
+        if (profile(opening.profile()).isEmpty()) {
             forget(passage);
             passage.refuse("unknown profile " + opening.profile().name());
             return;
@@ -443,6 +445,16 @@
                 opening.group(), passage.timeLeft(now()), false));
     }
 
+    private Optional<Deployment.Profile> profile(ProfileId id) {
+        return deployment.profiles().stream().filter(profile -> profile.id().equals(id)).findFirst();
+    }
+
+    /** Seconds from its first setup for which a tunnel that may have run may be sent again (rule 2). */
+    double repeatableFor(ProfileId id) {
+        return profile(id).filter(profile -> profile.repeat() == Deployment.Repeat.REFERENCED)
+                .map(Deployment.Profile::dedupWindow).orElse(Double.POSITIVE_INFINITY);
+    }
+
     static double margin(double clientTimeout) {
         return Math.min(MOST_MARGIN, MARGIN * clientTimeout);
     }
--- a/node/src/main/java/embershift/transport/Link.java
+++ b/node/src/main/java/embershift/transport/Link.java
@@ -158,6 +158,27 @@
         }
     }
 
+    /**
+     * Writing found the connection broken. What the peer said before that, its last words amid a reset, has not been read
+     * yet; reading tells of the break behind it by an end like any other.
+     */
+    private void breakUpBehindLastWords() {
+        if (closed || peerEnded || finished) {
+            breakUp();
+            return;
+        }
+        ByteBuffer own = loop.buffers().take();
+        try {
+            for (int i = 0; i < READS && !closed && connection.getSourceChannel().read(own.clear()) > 0; i++) {
+                events.received(own.flip());
+            }
+        } catch (IOException e) {
+            // That was all.
+        }
+        loop.buffers().giveBack(own);
+        breakUp();
+    }
+
     private void breakUp() {
         if (!closed) {
             close();
@@ -183,7 +204,7 @@
             }
         } catch (IOException e) {
             // The caller may be amid a decision: it hears of this later.
-            loop.execute(this::breakUp);
+            loop.execute(this::breakUpBehindLastWords);
             return false;
         }
         if (bytes.hasRemaining()) {
@@ -232,7 +253,7 @@
                 }
             }
         } catch (IOException e) {
-            breakUp();
+            breakUpBehindLastWords();
             return;
         }
         sink.suspendWrites();
