--- a/rig/src/main/java/embershift/rig/Main.java
+++ b/rig/src/main/java/embershift/rig/Main.java
@@ -4,12 +4,14 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import embershift.door.Toml;
 import embershift.rig.process.FleetMeasure;
 import embershift.rig.process.FleetPlay;
 import embershift.rig.process.Instances;
 import embershift.rig.process.Measure;
 import embershift.rig.process.Play;
 import embershift.rig.process.Schedule;
+import embershift.rig.scale.Scale;
 import embershift.rig.world.FleetWorld;
 import embershift.rig.world.ReleaseWorld;
 import embershift.rig.world.Worlds;
@@ -217,16 +219,41 @@
         }
     }
 
+    @Parameters(commandDescription = "FILE: how costs grow with the fleet, the figures of docs/CAPACITY.md; exit 1 where it is not whole")
+    private static final class Scales implements Command {
+        @Parameter(description = "FILE", required = true)
+        List<String> files = new ArrayList<>();
+
+        @Parameter(names = "--json", description = "The result as JSON")
+        boolean json;
+
+        @Parameter(names = "--report", description = "Where a page with plots is written")
+        String report;
+
+        @Override
+        public int run() throws IOException {
+            try {
+                Scale.End end = Scale.run(Path.of(files.get(0)), json, report == null ? null : Path.of(report));
+                if (!end.whole()) {
+                    System.err.println(end.why());
+                }
+                return end.whole() ? 0 : BROKEN;
+            } catch (Toml.Unusable e) {
+                throw new ParameterException(e.getMessage());
+            }
+        }
+    }
+
     public static void main(String[] args) {
         JCommander line = JCommander.newBuilder().programName("embershift-rig").addCommand("play", new PlayIt())
                 .addCommand("hunt", new Hunt()).addCommand("worlds", new Simulate())
                 .addCommand("measure", new Figures()).addCommand("fleets", new Fleets())
                 .addCommand("hunt-fleet", new FleetHunt())
-                .addCommand("measure-fleet", new FleetFigures()).build();
+                .addCommand("measure-fleet", new FleetFigures()).addCommand("scale", new Scales()).build();
         try {
             line.parse(args);
             if (line.getParsedCommand() == null) {
-                throw new ParameterException("play, hunt, worlds, fleets, hunt-fleet, measure or measure-fleet is wanted");
+                throw new ParameterException("play, hunt, worlds, fleets, hunt-fleet, measure, measure-fleet or scale is wanted");
             }
             Command command = (Command) line.getCommands().get(line.getParsedCommand()).getObjects().get(0);
             System.exit(command.run());
--- a/rig/src/main/java/embershift/rig/process/Instances.java
+++ b/rig/src/main/java/embershift/rig/process/Instances.java
@@ -64,7 +64,8 @@
         relays.put(new Ways.Way(from, to), new Relay(ways, from, to, () -> listen(to)));
     }
 
-    synchronized InetSocketAddress listen(String name) {
+    /** Where it listens now, past all relays; null while it does not. */
+    public synchronized InetSocketAddress listen(String name) {
         return listens.get(name);
     }
 
