Hosts that hang no longer swell the fleet's mean and what a tunnel adds

Of 3,212 declines over six nodes 1,414 were excess, 1,404 hosts cold, 355 hosts full, 39 node leaves; ruled out by the reasons: the leaving node, shunned and silent hosts, lateness, setups held back, repeated tries alone (they only lay claim to the room again). Healthy hosts stood at 0.2 to 0.7. Hosts that hang answer their probes and tell a load of 8 to 11 over what they can do, next to nothing then. With two or three of seven such, the mean stood at 3 to 4.4 and one tunnel counted 0.2 to 0.34 of a host in place of about 0.01.

Lines at fault, Policy.survey: `loads` and `sum` took these figures in. So inflow (arrivals times what one adds) came to 2 to 5 and 5 to 30 % were admitted; one own placement made a host look full (0.31 to 1.86); a mean over 0.7 made all healthy hosts stand out as empty (`hollow`), held to a cold host's part; and Filling's tunnels over loads gave cold hosts 0.02 a second for 1.0.

Change: a reported load over twice the capacity stays out of mean, usual load, a tunnel's share and Filling, unless there is no other host; the room counts such hosts as having none, as before. Only where hosts report load over capacity.

Tests: PolicyTest.hostsThatHangDoNotMakeTheOthersLookFull and ...DoNotKeepColdOnesEmpty fail on the commit before (4 of 8 sent; 8 tunnels to cold hosts, 57 beside full ones) and pass now; all of core passed.

--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -65,6 +65,8 @@
     private static final double SINKING = 0.9;
     /** Load over capacity from which a host takes no more: past it all its tunnels fare badly. */
     private static final double BRIMFUL = 0.8;
+    /** Load over capacity past which a host's figure tells of its own trouble, and nothing of the fleet. */
+    private static final double OVERWHELMED = 2;
     /** How often a period's room may be given away: some tunnels end, and some hosts' room is not found. */
     private static final double ROOM_PROMISED = 2;
     /** Periods over which the tunnels of a draining host are moved. */
@@ -636,8 +638,6 @@
             return;
         }
         surveyed = true;
-        double loads = 0;
-        double tunnels = 0;
         int reachable = 0;
         int warm = 0;
         List<Host> healthy = new ArrayList<>();
@@ -651,43 +651,37 @@
                 reachable += host.silent() ? 0 : 1;
                 if (!host.silent() && !host.shunned()) {
                     healthy.add(host);
-                    filling.add(host);
                     nearTake |= host.near();
                 }
             }
         }
         noneAnswers = reachable == 0;
         doubtful = 2 * healthy.size() < reachable;
+        healthy.stream().filter(host -> !host.overwhelmed()).forEach(filling::add);
         noneTimely = healthy.stream().allMatch(host -> host.lateness.lasts(now, longestMessage));
         healthy.removeIf(host -> host.cold() || host.noted
                 || !noneTimely && host.lateness.lasts(now, longestMessage));
-        counted = Math.max(1, healthy.size());
-        int heard = 0;
-        for (Host host : healthy) {
-            if (host.heard()) {
-                heard++;
-                loads += host.load;
-                tunnels += host.tunnelsThere();
-            }
-        }
-        usualLoad = loads / Math.max(1, heard);
+        int heard = (int) healthy.stream().filter(Host::heard).count();
+        List<Host> sound = healthy.stream().filter(host -> !host.overwhelmed()).toList();
+        sound = sound.isEmpty() ? healthy : sound;
+        counted = Math.max(1, sound.size());
+        List<Host> telling = sound.stream().filter(Host::heard).toList();
+        double loads = telling.stream().mapToDouble(host -> host.load).sum();
+        double tunnels = telling.stream().mapToDouble(Host::tunnelsThere).sum();
+        usualLoad = loads / Math.max(1, telling.size());
         // Guards the nearest host: placements that weigh nothing would all go there, hundreds at once where a
         // node that has just started takes in the clients of one that leaves.
         usualLoadOfOne = young() || tunnels < 1 || loads <= 0 ? 1 / SPAN : loads / tunnels;
-        double sum = 0;
-        double sumOfRoom = 0;
-        for (Host host : healthy) {
-            sum += host.expectedLoad();
-            sumOfRoom += host.heard() ? Math.max(0, BRIMFUL - host.expectedLoad()) : 0;
-        }
-        mean = sum / counted;
+        mean = sound.stream().mapToDouble(Host::expectedLoad).sum() / counted;
+        double sumOfRoom = healthy.stream().filter(Host::heard)
+                .mapToDouble(host -> Math.max(0, BRIMFUL - host.expectedLoad())).sum();
         fewHeard = heard < Math.min(active, FEW);
         if (fewHeard) {
             // A few hosts don't tell that the fleet is busy: tunnels would be declined unasked.
             mean = Math.min(mean, ROOMY);
         }
         boolean known = deployment.reportsCapacity() && heard > 0;
-        double load = known ? Math.min(1, Math.max(IDLE, loads / heard)) : 1;
+        double load = known ? Math.min(1, Math.max(IDLE, usualLoad)) : 1;
         // Nodes that all see the same little room would fill it many times over before a report shows it:
         // hosts would sink, shed and be filled again. So each keeps to its share of the room.
         double room = ROOM_PROMISED * sumOfRoom / Math.max(1, heard) * active / deployment.nodes();
@@ -1014,6 +1008,11 @@
             return !Double.isNaN(load) && now <= reportedAt + KEPT * PERIOD;
         }
 
+        /** One that hangs tells ten times its tunnels' load: in a mean, all look full and one tunnel huge. */
+        boolean overwhelmed() {
+            return deployment.reportsCapacity() && heard() && load > OVERWHELMED;
+        }
+
         boolean fresh() {
             return now <= reportedAt + FRESH * PERIOD;
         }
--- a/core/src/test/java/embershift/policy/PolicyTest.java
+++ b/core/src/test/java/embershift/policy/PolicyTest.java
@@ -414,6 +414,45 @@
         assertEquals(node.arrive(0, 1, "g").get(0), "decline t0 with advice");
     }
 
+    /** A host that hangs tells of ten times what it can do, as that is next to nothing then. */
+    @Test
+    public void hostsThatHangDoNotMakeTheOthersLookFull() {
+        Node node = new Node(Repeat.REPEATABLE, DedupScope.ALL, 8, 1, Budget.NONE, 6);
+        for (int host = 0; host < 8; host++) {
+            node.stand(5 * host, 5, host);
+        }
+        node.loads(0.4, 0.4, 0.4, 0.4, 10, 9, 11, 10);
+        node.arrive(100, 8, null);
+        assertEquals(node.count("set up"), 8, node.reasons.toString());
+        for (int host = 4; host < 8; host++) {
+            assertEquals(node.sentTo(host), 0, "sent to h" + host + ", which hangs");
+        }
+    }
+
+    /** Nor do they make a tunnel look so heavy that hosts which have just started get no part of them. */
+    @Test
+    public void hostsThatHangDoNotKeepColdOnesEmpty() {
+        assertTrue(sentToTwoColdHosts(10) >= sentToTwoColdHosts(0.75), "cold hosts: " + sentToTwoColdHosts(10)
+                + " beside hosts that hang, " + sentToTwoColdHosts(0.75) + " beside full ones");
+    }
+
+    private static int sentToTwoColdHosts(double loadOfThree) {
+        Node node = new Node(8);
+        for (int host = 0; host < 6; host++) {
+            node.stand(30 * host, 30, host);
+        }
+        node.round(news -> news.rosterChanged(List.of(Node.listing(6, Listing.State.READY, node.now),
+                Node.listing(7, Listing.State.READY, node.now))));
+        int sent = 0;
+        for (int step = 0; step < 40; step++) {
+            node.now += 0.1;
+            node.loads(0.75, 0.75, 0.75, loadOfThree, loadOfThree, loadOfThree, 0, 0);
+            node.arrive(1000 + 5 * step, 5, null);
+            sent += (int) (node.sentTo(6) + node.sentTo(7));
+        }
+        return sent;
+    }
+
     @Test
     public void fewSinkingHostsDoNotMakeTheFleetBusy() {
         Node node = new Node(12);
