Numbers of tunnels count over the roster's weight where hosts tell no load over capacity

Six nodes that had just started sent one host 40 tunnels in three seconds (19 to 50).

Lines at fault: Policy.hostReported took the number as it came, though Listing carried the roster's weight, read by nobody; Filling.add took tunnels over load, one a host there, for what fills a cold host; Policy.survey counted a young node's placement as 1/256.

Change: the number over the weight, which is the nominal size or that lowered by what the host holds; what others hold fills a cold host; the eight periods of 1/256 only where load over capacity is told.

Where load over capacity is told nothing changes. Four cases of PolicyTest fail on the decisions as they were (74 of 300 tunnels shed, 1 sent to a cold host, 40 of 40 to one host).

--- a/core/src/main/java/embershift/policy/Filling.java
+++ b/core/src/main/java/embershift/policy/Filling.java
@@ -34,11 +34,14 @@
 
     /** A host's latest report: load over what it can do now, and the tunnels that make it. */
     void add(Policy.Host host) {
-        if (host.heard() && host.cold()) {
-            coldLoads += host.load;
+        // Numbers of tunnels tell no part of what a host can do: what it carries then counts as its fill, or one
+        // tunnel would be taken to fill a host.
+        double load = deployment.reportsCapacity() ? host.load : 1;
+        if (host.heard() && host.cold() && deployment.reportsCapacity()) {
+            coldLoads += load;
             coldTunnels += host.tunnelsThere();
-        } else if (host.heard()) {
-            loads += host.load;
+        } else if (host.heard() && !host.cold()) {
+            loads += load;
             tunnels += host.tunnelsThere();
         }
     }
--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -198,6 +198,7 @@
                 host.startsAnew(listing.launchedAt());
             }
             host.listed = true;
+            host.weight = listing.weight();
             turn(host, listing.state(), host.byHand);
             host.zone = listing.zone();
             host.cell = listing.cell();
@@ -416,9 +417,6 @@
 
     /** Places the tunnels whose asked hosts have answered, or have not for too long. */
     private void placeAnswered() {
-        if (asking.isEmpty()) {
-            return;
-        }
         List<Tunnel> asked = asking;
         asking = new ArrayList<>();
         for (Tunnel tunnel : asked) {
@@ -676,7 +674,8 @@
         usualLoad = loads / Math.max(1, heard);
         // Guards the nearest host: placements that weigh nothing would all go there, hundreds at once where a
         // node that has just started takes in the clients of one that leaves.
-        usualLoadOfOne = young() || tunnels < 1 || loads <= 0 ? 1 / SPAN : loads / tunnels;
+        boolean untold = deployment.reportsCapacity() && young();
+        usualLoadOfOne = untold || tunnels < 1 || loads <= 0 ? 1 / SPAN : loads / tunnels;
         double sum = 0;
         double sumOfRoom = 0;
         for (Host host : healthy) {
@@ -787,7 +786,7 @@
         Host host = hosts.get(at);
         if (host != null) {
             double load = !Double.isNaN(loadOverCapacity) ? loadOverCapacity
-                    : !Double.isNaN(openTunnels) ? openTunnels : queued;
+                    : (!Double.isNaN(openTunnels) ? openTunnels : queued) / host.weight;
             if (load >= 0 && load < Double.POSITIVE_INFINITY) {  // else senseless: the figure before stands
                 doubt(host, load);
                 host.load = load;
@@ -954,6 +953,7 @@
         Listing.State state = Listing.State.GONE;
         ZoneId zone;
         int cell;
+        double weight = 1;
         double launchedAt;
         final Warming warming = new Warming(deployment, chance);
         final Lateness lateness = new Lateness(PERIOD);
--- a/core/src/test/java/embershift/policy/Node.java
+++ b/core/src/test/java/embershift/policy/Node.java
@@ -38,9 +38,14 @@
     }
 
     Node(Repeat repeat, DedupScope scope, int hosts, long seed, Budget budget, int nodes) {
+        this(repeat, scope, hosts, seed, budget, nodes, true);
+    }
+
+    /** {@code reportsCapacity}: whether hosts tell load over capacity, else they tell numbers of tunnels. */
+    Node(Repeat repeat, DedupScope scope, int hosts, long seed, Budget budget, int nodes, boolean reportsCapacity) {
         Profile profile = new Profile(new ProfileId("p"), repeat, scope, 2, 0.5, 3, 0.1, 1);
         Deployment deployment = new Deployment(seed, nodes, new ZoneId("near"), List.of(profile), true, 10,
-                true, true, true, true, false, 4, true, 1.5, 0.25, 0.016, 0.5, 0.3, 8, 3, 2, budget, false, 0);
+                true, true, reportsCapacity, true, false, 4, true, 1.5, 0.25, 0.016, 0.5, 0.3, 8, 3, 2, budget, false, 0);
         filling = new Filling(deployment);
         policy = new Policy(deployment, filling);
         List<Listing> listings = new ArrayList<>();
@@ -74,6 +79,22 @@
         return List.copyOf(said);
     }
 
+    /** A listing of a host that started long ago, with the weight that the roster gives it. */
+    static Listing weighed(int host, double weight) {
+        return new Listing(host(host), Listing.State.READY, new ZoneId(host % 2 == 0 ? "near" : "far"), weight, 0, 0);
+    }
+
+    /** One round in which hosts 0, 1, ... report these numbers of tunnels. */
+    Node numbers(int... open) {
+        round(news -> {
+            for (int i = 0; i < open.length; i++) {
+                news.probeEnded(host(i), true, 0.01);
+                news.hostReported(host(i), Double.NaN, open[i], 0);
+            }
+        });
+        return this;
+    }
+
     /** One round in which hosts 0, 1, ... report these loads over capacity. */
     Node loads(double... loads) {
         round(news -> {
--- a/core/src/test/java/embershift/policy/PolicyTest.java
+++ b/core/src/test/java/embershift/policy/PolicyTest.java
@@ -17,6 +17,7 @@
 import org.testng.annotations.Test;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -857,4 +858,84 @@
         });
         assertEquals(node.count("probe"), 0);
     }
+
+    private static Node ofNumbers(int hosts, int nodes) {
+        return new Node(Repeat.REPEATABLE, DedupScope.ALL, hosts, 1, Budget.NONE, nodes, false);
+    }
+
+    /** Whether the roster's weights fall the more tunnels a host holds. */
+    @DataProvider
+    public Object[][] weighings() {
+        return new Object[][] {{false}, {true}};
+    }
+
+    /**
+     * Two hosts of four units and two of two, which shed their newest tunnels when they hold over nine a unit; 80
+     * tunnels of 108 that all could hold. At equal numbers the small ones would get 20 each, shed, look idle by it and
+     * get all again.
+     */
+    @Test(dataProvider = "weighings")
+    public void smallHostsThatTellNumbersAloneAreNotFilledLikeLargeOnes(boolean lowered) {
+        int[] units = {4, 4, 2, 2};
+        Node node = ofNumbers(4, 1);
+        List<List<Integer>> held = List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+        int shed = 0;
+        int next = 0;
+        for (int step = 0; step < 300; step++) {
+            node.now += 0.1;
+            if (step % 10 == 0) {
+                node.round(news -> news.rosterChanged(IntStream.range(0, 4).mapToObj(i -> Node.weighed(i,
+                        lowered ? units[i] / (1.0 + held.get(i).size() / (double) units[i]) : units[i])).toList()));
+                node.numbers(held.stream().mapToInt(List::size).toArray());
+            }
+            List<Integer> over = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                int host = i;
+                while (!held.get(i).isEmpty() && held.get(i).get(0) < next - 80) {
+                    int ended = held.get(i).remove(0);
+                    node.round(news -> news.setupEnded(Node.tun(ended), 0, Node.host(host), SetupEnd.COMPLETED, 8, true));
+                }
+                while (held.get(i).size() > 9 * units[i] - (over.isEmpty() ? 0 : units[i])) {
+                    over.add(held.get(i).remove(held.get(i).size() - 1));
+                    node.round(news -> news.setupEnded(Node.tun(over.get(over.size() - 1)), 0, Node.host(host),
+                            SetupEnd.BROKEN, 1, true));
+                }
+            }
+            shed += over.size();
+            for (int come = 0; come <= over.size(); come++) {
+                int tunnel = next++;
+                node.arrive(tunnel, 1, null);
+                int host = node.lastHost();
+                assertTrue(host >= 0, "no host for tunnel " + tunnel);
+                node.round(news -> news.tunnelOpened(Node.tun(tunnel), 0, Node.host(host), 0.02));
+                held.get(host).add(tunnel);
+            }
+        }
+        assertTrue(shed <= 4, shed + " of 300 shed");
+    }
+
+    /** What others hold is the guide to what a cold host may take: taken for full by one tunnel, it would stand idle. */
+    @Test
+    public void coldHostAmongHostsThatTellNumbersIsFilledByWhatOthersHold() {
+        Node node = ofNumbers(4, 4);
+        node.now += 20;
+        node.round(news -> news.rosterChanged(List.of(Node.listing(0, Listing.State.READY, node.now))));
+        long sent = 0;
+        for (int i = 0; i < 80; i++) {
+            node.now += 0.1;
+            node.numbers((int) sent, 40, 40, 40);
+            node.arrive(i, 1, null);
+            sent += node.sentTo(0);
+        }
+        assertTrue(sent >= 12 && sent <= 40, sent + " sent");
+    }
+
+    /** A number tells what a tunnel adds to it, also to a node that has just started. */
+    @Test
+    public void nodeThatHasJustStartedDoesNotFillTheHostThatTellsTheLeast() {
+        Node node = ofNumbers(4, 4).numbers(30, 40, 40, 40);
+        node.arrive(0, 40, null);
+        assertEquals(node.count("set up"), 40);
+        assertTrue(node.sentTo(0) < 20, "h0 was given " + node.sentTo(0));
+    }
 }
