--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -200,6 +200,7 @@
                 host.startsAnew(listing.launchedAt());
             }
             host.listed = true;
+            host.weight = listing.weight();
             turn(host, listing.state(), host.byHand);
             host.zone = listing.zone();
             host.cell = listing.cell();
@@ -672,7 +673,8 @@
         usualLoad = loads / Math.max(1, telling.size());
         // Guards the nearest host: placements that weigh nothing would all go there, hundreds at once where a
         // node that has just started takes in the clients of one that leaves.
-        usualLoadOfOne = young() || tunnels < 1 || loads <= 0 ? 1 / SPAN : loads / tunnels;
+        boolean untold = deployment.reportsCapacity() && young();
+        usualLoadOfOne = untold || tunnels < 1 || loads <= 0 ? 1 / SPAN : loads / tunnels;
         mean = sound.stream().mapToDouble(Host::expectedLoad).sum() / counted;
         double sumOfRoom = healthy.stream().filter(Host::heard)
                 .mapToDouble(host -> Math.max(0, BRIMFUL - host.expectedLoad())).sum();
@@ -779,7 +781,7 @@
         Host host = hosts.get(at);
         if (host != null) {
             double load = !Double.isNaN(loadOverCapacity) ? loadOverCapacity
-                    : !Double.isNaN(openTunnels) ? openTunnels : queued;
+                    : (!Double.isNaN(openTunnels) ? openTunnels : queued) / host.weight;
             if (load >= 0 && load < Double.POSITIVE_INFINITY) {  // else senseless: the figure before stands
                 doubt(host, load);
                 host.load = load;
@@ -946,6 +948,7 @@
         Listing.State state = Listing.State.GONE;
         ZoneId zone;
         int cell;
+        double weight = 1;
         double launchedAt;
         final Warming warming = new Warming(deployment, chance);
         final Lateness lateness = new Lateness(PERIOD);
