--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -512,7 +512,7 @@
         host.placedSinceReport++;
         grown++;
         placed.add(now, 0, 1);
-        host.warming.took();
+        host.slowStart.took();
         decisions.setUp(tunnel.id, host.id, timeOut);
     }
 
@@ -571,7 +571,7 @@
     private boolean mayTake(Host host, Tunnel tunnel) {
         return used(host) && dropsRepeats(tunnel, host)
                 && (noneTimely || !host.lateness.lasts(now, tunnel.profile.messageGoal()))
-                && (!host.cold() && !hollow(host) || host.warming.mayTake(now, warmHostCanTake));
+                && (!host.cold() && !hollow(host) || host.slowStart.mayTake(now, warmHostCanTake));
     }
 
     /**
@@ -804,11 +804,11 @@
     /** Rule 4: a host that came back from death looks idle; a roster that is away or late does not tell. */
     private void doubt(Host host, double load) {
         boolean rosterAway = rosterCallAt < Double.POSITIVE_INFINITY
-                && host.warming.beganBefore(rosterLostAt);
+                && host.slowStart.beganBefore(rosterLostAt);
         host.load = Double.NaN;  // what it was before is no measure
         survey();
         if ((host.away || rosterAway) && !host.cold() && load < Math.min(usualLoad, ROOMY) / 2) {
-            host.warming.begin(now, now);
+            host.slowStart.begin(now, now);
             host.back = true;
         }
         surveyed = false;
@@ -955,7 +955,7 @@
         ZoneId zone;
         int cell;
         double launchedAt;
-        final Warming warming = new Warming(deployment, chance);
+        final SlowStart slowStart = new SlowStart(deployment, chance);
         final Lateness lateness = new Lateness(PERIOD);
         /** Whether it was here before it last started: what ends in the fleet ended on it as well. */
         boolean back;
@@ -980,7 +980,7 @@
         }
 
         void startsAnew(double at) {
-            warming.begin(at, now);
+            slowStart.begin(at, now);
             load = Double.NaN;
             reportedAt = Double.NEGATIVE_INFINITY;
             shunnedUntil = now;
@@ -1022,7 +1022,7 @@
         }
 
         boolean cold() {
-            return warming.lasts(now);
+            return slowStart.lasts(now);
         }
 
         /**
--- a/core/src/main/java/embershift/policy/Warming.java
+++ b/core/src/main/java/embershift/policy/SlowStart.java
@@ -6,7 +6,7 @@
  * Guards a host that has just started (rule 4): this node's part of what all nodes together may send it until
  * it is warm, as credit that grows with what it can do by then.
  */
-final class Warming {
+final class SlowStart {
 
     private final Deployment deployment;
     private final Chance chance;
@@ -14,7 +14,7 @@
     private double credit;
     private double creditAt;
 
-    Warming(Deployment deployment, Chance chance) {
+    SlowStart(Deployment deployment, Chance chance) {
         this.deployment = deployment;
         this.chance = chance;
     }
