Cold hosts: nodes open by their place on a circle, so that the sum of all stays within N

Cause: SlowStart gave each node credit of its own that stood at 1, or at all of a span, while it had no use for it, and grew while it was spent.

Change: no credit. What a node sent in the last fall-s counts against its share, N over nodes. A share's fraction is open by the node's place: rank times the golden ratio, turned by the host's name, so nodes need not agree on how many they are. Who does not know its rank takes a place by chance and less of N. A process just started holds back for fall-s from hosts that started before it did. `rank` is read from the settings.

Less is not to be had where nodes tell each other nothing: those that would send in the same moment may be no more than N.

--- a/core/src/main/java/embershift/model/Deployment.java
+++ b/core/src/main/java/embershift/model/Deployment.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 
-/** What a node is told of its deployment when it starts. */
+/**
+ * What a node is told of its deployment when it starts; {@code rank}: its number among the {@code nodes}, from 0 on, below 0
+ * where it is not told.
+ */
 public record Deployment(
-        long seed, int nodes, ZoneId zone, List<Profile> profiles,
+        long seed, int nodes, int rank, ZoneId zone, List<Profile> profiles,
         boolean rosterOnRequest, double mustAskWithin,
         boolean mayProbe, boolean mayTellNodes, boolean reportsCapacity,
         boolean mayCancel, boolean mayOverlap, int mostSetups,
--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -512,7 +512,7 @@
         host.placedSinceReport++;
         grown++;
         placed.add(now, 0, 1);
-        host.slowStart.took();
+        host.slowStart.took(now);
         decisions.setUp(tunnel.id, host.id, timeOut);
     }
 
@@ -808,7 +808,7 @@
         host.load = Double.NaN;  // what it was before is no measure
         survey();
         if ((host.away || rosterAway) && !host.cold() && load < Math.min(usualLoad, ROOMY) / 2) {
-            host.slowStart.begin(now, now);
+            host.slowStart.begin(host.id, now, now);
             host.back = true;
         }
         surveyed = false;
@@ -955,7 +955,7 @@
         ZoneId zone;
         int cell;
         double launchedAt;
-        final SlowStart slowStart = new SlowStart(deployment, chance);
+        final SlowStart slowStart = new SlowStart(deployment, chance, startedAt);
         final Lateness lateness = new Lateness(PERIOD);
         /** Whether it was here before it last started: what ends in the fleet ended on it as well. */
         boolean back;
@@ -980,7 +980,7 @@
         }
 
         void startsAnew(double at) {
-            slowStart.begin(at, now);
+            slowStart.begin(id, at, now);
             load = Double.NaN;
             reportedAt = Double.NEGATIVE_INFINITY;
             shunnedUntil = now;
--- a/core/src/test/java/embershift/policy/Node.java
+++ b/core/src/test/java/embershift/policy/Node.java
@@ -38,9 +38,11 @@
     }
 
     Node(Repeat repeat, DedupScope scope, int hosts, long seed, Budget budget, int nodes) {
-        Profile profile = new Profile(new ProfileId("p"), repeat, scope, 2, 0.5, 3, 0.1, 1);
-        Deployment deployment = new Deployment(seed, nodes, new ZoneId("near"), List.of(profile), true, 10,
-                true, true, true, true, false, 4, true, 1.5, 0.25, 0.016, 0.5, 0.3, 8, 3, 2, budget, false, 0);
+        this(repeat, scope, hosts, seed, budget, nodes, 0);
+    }
+
+    Node(Repeat repeat, DedupScope scope, int hosts, long seed, Budget budget, int nodes, int rank) {
+        Deployment deployment = deployment(repeat, scope, seed, budget, nodes, rank, 0.3, 8, 3, 2);
         filling = new Filling(deployment);
         policy = new Policy(deployment, filling);
         List<Listing> listings = new ArrayList<>();
@@ -54,6 +56,13 @@
         this(Repeat.REPEATABLE, DedupScope.ALL, hosts, 1);
     }
 
+    static Deployment deployment(Repeat repeat, DedupScope scope, long seed, Budget budget, int nodes, int rank,
+                                 double coldFrom, double warmAfter, double fallMultiple, double fallAfter) {
+        Profile profile = new Profile(new ProfileId("p"), repeat, scope, 2, 0.5, 3, 0.1, 1);
+        return new Deployment(seed, nodes, rank, new ZoneId("near"), List.of(profile), true, 10, true, true, true, true,
+                false, 4, true, 1.5, 0.25, 0.016, 0.5, coldFrom, warmAfter, fallMultiple, fallAfter, budget, false, 0);
+    }
+
     static Listing listing(int host, Listing.State state, double launchedAt) {
         ZoneId zone = new ZoneId(host % 2 == 0 ? "near" : "far");
         return new Listing(host(host), state, zone, 1, host / 2, launchedAt);
--- a/emulator/src/main/java/embershift/emulator/world/World.java
+++ b/emulator/src/main/java/embershift/emulator/world/World.java
@@ -174,7 +174,7 @@
 
     // ---- Nodes ----
 
-    Deployment deployment(long seed, String zone) {
+    Deployment deployment(long seed, int rank, String zone) {
         List<Deployment.Profile> profiles = new ArrayList<>();
         for (Day.Profile row : day.profile()) {
             profiles.add(new Deployment.Profile(new ProfileId(row.name()),
@@ -182,7 +182,7 @@
                     row.window(), row.goal(), row.patience(), row.message(), row.credit()));
         }
         Day.Limits limits = day.limits();
-        return new Deployment(seed, day.fleet().nodes(), new ZoneId(zone), profiles, true,
+        return new Deployment(seed, day.fleet().nodes(), rank, new ZoneId(zone), profiles, true,
                 day.roster().mustAskWithin(), limits.mayProbe(), limits.mayTellNodes(), true, limits.mayCancel(),
                 false, limits.mostSetups(), limits.advice(), limits.longestReturn(), limits.connectTimeout(), 0,
                 day.rules().drainGrace(), day.host().coldFrom(), day.host().warmAfter(), day.rules().fallMultiple(),
@@ -192,7 +192,7 @@
     /** Starts a node's program; its clients come once the front has had its answer. */
     void startNode(int number, List<Listing> remembered) {
         String zone = day.fleet().zones().get(number % day.fleet().zones().size());
-        NodeShell node = new NodeShell(this, number, zone, maker.make(deployment(nodeLuck.number(), zone), this));
+        NodeShell node = new NodeShell(this, number, zone, maker.make(deployment(nodeLuck.number(), number, zone), this));
         nodes[number] = node;
         witness.nodeChanged(now(), node.name, true);
         trace.of(now(), node.name, "starts");
--- a/emulator/src/test/java/embershift/emulator/MutationsTest.java
+++ b/emulator/src/test/java/embershift/emulator/MutationsTest.java
@@ -76,7 +76,7 @@
     }
 
     private static Deployment other(Deployment of, double warmAfter, UnaryOperator<Deployment.Profile> profile) {
-        return new Deployment(of.seed(), of.nodes(), of.zone(), of.profiles().stream().map(profile).toList(),
+        return new Deployment(of.seed(), of.nodes(), of.rank(), of.zone(), of.profiles().stream().map(profile).toList(),
                 of.rosterOnRequest(), of.mustAskWithin(), of.mayProbe(), of.mayTellNodes(), of.reportsCapacity(),
                 of.mayCancel(), of.mayOverlap(), of.mostSetups(), of.adviceOnReturn(), of.longestReturn(),
                 of.connectTimeout(), of.answerSlack(), of.drainGrace(), of.coldFrom(), warmAfter, of.fallMultiple(),
--- a/node/src/main/java/embershift/protocol/DeploymentReader.java
+++ b/node/src/main/java/embershift/protocol/DeploymentReader.java
@@ -64,7 +64,7 @@
                     numberOr(row + "credit", 1)));
         }
         boolean asked = oneOf("discovery", Map.of("subscribe", true, "automatic", false));
-        return new Deployment(seed, (int) number("balancers"),
+        return new Deployment(seed, (int) number("balancers"), (int) numberOr("rank", -1),
                 new ZoneId(pairs.getOrDefault("az", "-")), profiles,
                 asked, asked ? number("rules.must-ask-in-s") : 0,
                 flag("limits.may-probe"), "true".equals(pairs.get("limits.may-tell")),
--- a/node/src/test/java/embershift/protocol/ProtocolTest.java
+++ b/node/src/test/java/embershift/protocol/ProtocolTest.java
@@ -278,6 +278,9 @@
                 List.of(5, false, true, true, 10.0, 4096));
         assertEquals(deployment.profiles().get(0).dedupScope(), Deployment.DedupScope.CELL);
         assertEquals(deployment.profiles().get(0).messageGoal(), 0.06);
+        assertEquals(deployment.rank(), -1, "not told");
+        String ranked = CONFIGURATION.replace("\"az\"", "\"rank\":3,\"az\"");
+        assertEquals(NodeConfiguration.read(ranked, null).deployment().rank(), 3);
     }
 
     @DataProvider
