--- a/core/src/test/java/embershift/policy/Node.java
+++ b/core/src/test/java/embershift/policy/Node.java
@@ -41,22 +41,24 @@
     }
 
     Node(Repeat repeat, DedupScope scope, int hosts, long seed, Budget budget, int nodes) {
-        this(repeat, scope, hosts, seed, budget, nodes, true);
+        this(profiles(repeat, scope), hosts, seed, budget, nodes, 0, true);
+    }
+
+    Node(Repeat repeat, DedupScope scope, int hosts, long seed, Budget budget, int nodes, int rank) {
+        this(profiles(repeat, scope), hosts, seed, budget, nodes, rank, true);
     }
 
     /** {@code reportsCapacity}: whether hosts tell load over capacity, else they tell numbers of tunnels. */
     Node(Repeat repeat, DedupScope scope, int hosts, long seed, Budget budget, int nodes, boolean reportsCapacity) {
-        this(List.of(new Profile(new ProfileId("p"), repeat, scope, 2, 0.5, 3, 0.1, 1)), hosts, seed, budget, nodes,
-                reportsCapacity);
+        this(profiles(repeat, scope), hosts, seed, budget, nodes, 0, reportsCapacity);
     }
 
     Node(List<Profile> profiles, int hosts, long seed, Budget budget, int nodes) {
-        this(profiles, hosts, seed, budget, nodes, true);
+        this(profiles, hosts, seed, budget, nodes, 0, true);
     }
 
-    private Node(List<Profile> profiles, int hosts, long seed, Budget budget, int nodes, boolean reportsCapacity) {
-        Deployment deployment = new Deployment(seed, nodes, new ZoneId("near"), profiles, true, 10,
-                true, true, reportsCapacity, true, false, 4, true, 1.5, 0.25, 0.016, 0.5, 0.3, 8, 3, 2, budget, false, 0);
+    private Node(List<Profile> profiles, int hosts, long seed, Budget budget, int nodes, int rank, boolean reportsCapacity) {
+        Deployment deployment = deployment(profiles, seed, budget, nodes, rank, reportsCapacity, 0.3, 8, 3, 2);
         filling = new Filling(deployment);
         policy = new Policy(deployment, filling);
         List<Listing> listings = new ArrayList<>();
@@ -70,6 +72,23 @@
         this(Repeat.REPEATABLE, DedupScope.ALL, hosts, 1);
     }
 
+    static Deployment deployment(Repeat repeat, DedupScope scope, long seed, Budget budget, int nodes, int rank,
+                                 double coldFrom, double warmAfter, double fallMultiple, double fallAfter) {
+        return deployment(profiles(repeat, scope), seed, budget, nodes, rank, true, coldFrom, warmAfter, fallMultiple,
+                fallAfter);
+    }
+
+    private static Deployment deployment(List<Profile> profiles, long seed, Budget budget, int nodes, int rank,
+                                         boolean reportsCapacity, double coldFrom, double warmAfter, double fallMultiple,
+                                         double fallAfter) {
+        return new Deployment(seed, nodes, rank, new ZoneId("near"), profiles, true, 10, true, true, reportsCapacity, true,
+                false, 4, true, 1.5, 0.25, 0.016, 0.5, coldFrom, warmAfter, fallMultiple, fallAfter, budget, false, 0);
+    }
+
+    private static List<Profile> profiles(Repeat repeat, DedupScope scope) {
+        return List.of(new Profile(new ProfileId("p"), repeat, scope, 2, 0.5, 3, 0.1, 1));
+    }
+
     static Listing listing(int host, Listing.State state, double launchedAt) {
         ZoneId zone = new ZoneId(host % 2 == 0 ? "near" : "far");
         return new Listing(host(host), state, zone, 1, host / 2, launchedAt);
--- a/rig/src/main/java/embershift/rig/scale/ModuleSimulation.java
+++ b/rig/src/main/java/embershift/rig/scale/ModuleSimulation.java
@@ -112,7 +112,7 @@
 
     /** As the platform would tell it; of the figures only those that cost something matter here. */
     static Deployment deployment(int nodes) {
-        return new Deployment(1, nodes, new ZoneId("z0"),
+        return new Deployment(1, nodes, 0, new ZoneId("z0"),
                 List.of(new Deployment.Profile(PROFILE, Deployment.Repeat.REPEATABLE, Deployment.DedupScope.ALL, 0, GOAL, TIMEOUT,
                         MESSAGE_GOAL, 1)),
                 false, 9, true, true, true, true, false, 3, true, 1, 0.25, 0, 1, 0.3, 20, 4, 1.5, Deployment.Budget.NONE, false, 0);
