--- a/rig/src/main/java/embershift/rig/scale/ModuleSimulation.java
+++ b/rig/src/main/java/embershift/rig/scale/ModuleSimulation.java
@@ -1,5 +1,6 @@
 package embershift.rig.scale;
 
+import embershift.model.DeclineReason;
 import embershift.model.Decisions;
 import embershift.model.Deployment;
 import embershift.model.GroupId;
@@ -223,7 +224,7 @@
     }
 
     @Override
-    public void decline(TunnelId id, double returnAfter) {
+    public void decline(TunnelId id, double returnAfter, DeclineReason reason) {
         declined++;
     }
 
--- a/rig/src/main/java/embershift/rig/scale/WordCosts.java
+++ b/rig/src/main/java/embershift/rig/scale/WordCosts.java
@@ -1,5 +1,6 @@
 package embershift.rig.scale;
 
+import embershift.model.DeclineReason;
 import embershift.model.Decisions;
 import embershift.model.Deployment;
 import embershift.model.HostId;
@@ -73,7 +74,7 @@
         }
 
         @Override
-        public void decline(TunnelId id, double returnAfter) {
+        public void decline(TunnelId id, double returnAfter, DeclineReason reason) {
         }
 
         @Override
