--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -799,13 +799,16 @@
     private void doubt(Host host, double load) {
         boolean rosterAway = rosterCallAt < Double.POSITIVE_INFINITY
                 && host.slowStart.beganBefore(rosterLostAt);
-        host.load = Double.NaN;  // what it was before is no measure
-        survey();
-        if ((host.away || rosterAway) && !host.cold() && load < Math.min(usualLoad, ROOMY) / 2) {
-            host.slowStart.begin(host.id, now, now);
-            host.back = true;
-        }
         surveyed = false;
+        if ((host.away || rosterAway) && !host.cold()) {
+            host.load = Double.NaN;  // what it was before is no measure
+            survey();
+            surveyed = false;
+            if (load < Math.min(usualLoad, ROOMY) / 2) {
+                host.slowStart.begin(host.id, now, now);
+                host.back = true;
+            }
+        }
         host.away = false;
     }
 
@@ -884,10 +887,12 @@
      * late from all.
      */
     private void moveOffLate(Host host, double delay) {
-        if (host.lateness.persists(now) && !(host.heard() && host.load > SINKING) && now >= host.nextMove
-                && !noneTimely) {
-            host.nextMove = now + MOVE_PAUSE * PERIOD;
-            moveSome(host, LATE_SHARE, delay);
+        if (host.lateness.persists(now) && !(host.heard() && host.load > SINKING) && now >= host.nextMove) {
+            survey();
+            if (!noneTimely) {
+                host.nextMove = now + MOVE_PAUSE * PERIOD;
+                moveSome(host, LATE_SHARE, delay);
+            }
         }
     }
 
--- a/core/src/main/java/embershift/policy/Seats.java
+++ b/core/src/main/java/embershift/policy/Seats.java
@@ -3,6 +3,8 @@
 import embershift.policy.Policy.Host;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.zip.CRC32;
 
@@ -15,20 +17,34 @@
     private static final int LEAST = 1024;
 
     private Host[] seats = new Host[LEAST];
+    /** The roll whose hosts are to be seated anew; null while they sit. */
+    private List<Host> unseated;
+    private int fillings;
 
-    /** Keeps the roll in one order at all nodes, so that the intervals of the draw lie alike. */
+    /**
+     * Keeps the roll in one order at all nodes, so that the intervals of the draw lie alike. Hosts are seated when they are
+     * next looked for: a list of thousands is enrolled in one round, and would be seated as often as it has hosts.
+     */
     Host enrol(Host host, List<Host> roll) {
-        int at = 0;
-        while (at < roll.size() && roll.get(at).id.name().compareTo(host.id.name()) < 0) {
-            at++;
-        }
-        roll.add(at, host);
-        fill(roll);
+        int at = Collections.binarySearch(roll, host, Comparator.comparing((Host other) -> other.id.name()));
+        roll.add(at < 0 ? -at - 1 : at, host);
+        unseated = roll;
         return host;
     }
 
-    /** Seats all hosts anew; at least half of the seats stay empty. */
-    private void fill(List<Host> roll) {
+    /** How often all hosts were seated. */
+    int fillings() {
+        return fillings;
+    }
+
+    /** Seats all hosts anew where some were enrolled; at least half of the seats stay empty. */
+    private void fill() {
+        if (unseated == null) {
+            return;
+        }
+        List<Host> roll = unseated;
+        unseated = null;
+        fillings++;
         seats = new Host[Math.max(LEAST, 4 * Integer.highestOneBit(roll.size()))];
         for (Host host : roll) {
             int seat = seat(scattered(numberOf(host.id.name())));
@@ -41,10 +57,12 @@
 
     /** The host on whose seat the number falls, or null. */
     Host under(long number) {
+        fill();
         return seats[seat(number)];
     }
 
     int size() {
+        fill();
         return seats.length;
     }
 
--- /dev/null
+++ b/core/src/test/java/embershift/policy/SeatsTest.java
@@ -0,0 +1,55 @@
+package embershift.policy;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertSame;
+
+import org.testng.annotations.Test;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+public class SeatsTest {
+
+    private static final int HOSTS = 700;
+
+    private final Policy policy = new Node(1).policy;
+
+    private static List<Policy.Host> enrolled(Seats seats, List<Policy.Host> hosts) {
+        List<Policy.Host> roll = new ArrayList<>();
+        hosts.forEach(host -> seats.enrol(host, roll));
+        return roll;
+    }
+
+    private List<Policy.Host> hosts() {
+        return new ArrayList<>(IntStream.range(0, HOSTS).mapToObj(i -> policy.new Host(Node.host(i))).toList());
+    }
+
+    /** A list of thousands comes in one round; seated at each of its hosts, it would hold the loop up by its square. */
+    @Test
+    public void hostsOfOneListAreSeatedOnce() {
+        Seats seats = new Seats();
+        enrolled(seats, hosts());
+        seats.under(1);
+        assertEquals(seats.size(), 2048);
+        assertEquals(seats.fillings(), 1);
+    }
+
+    /** Nodes hear of hosts in unlike orders, and numbers still fall on the same hosts. */
+    @Test
+    public void numbersFallOnTheSameHostsWhateverTheOrder() {
+        List<Policy.Host> hosts = hosts();
+        Seats here = new Seats();
+        List<Policy.Host> roll = enrolled(here, hosts);
+        assertEquals(roll, roll.stream().sorted(Comparator.comparing((Policy.Host host) -> host.id.name())).toList());
+        Collections.shuffle(hosts, new Random(5));
+        Seats there = new Seats();
+        assertEquals(enrolled(there, hosts), roll);
+        for (long number = 0; number < 5000; number++) {
+            assertSame(there.under(Seats.scattered(number)), here.under(Seats.scattered(number)));
+        }
+    }
+}
