A node is told within 5.8 s of discovery's return, in whatever phase its failed calls are

Cause: a call was given up 4 s after its beginning (Roster.PATIENCE), and only then a pause began: up to 4 s by itself (MOST_AGAIN), up to 0.375 of the must-ask time where the module asks (Policy.rosterLost). Neither counted what the call had taken.

Change: WatchSchedule decides, without sockets or clock, when a call begins, how long it may wait, when it is given up and when the next begins: 3.8 s from beginning to beginning at the most, however the call failed. Roster is its shell; the module may still call sooner, and its own pause counts from the call's beginning too and ends after 3.8 s.

Checksums of two seeds differ by the same bits at each draw, so that sums of such draws hardly spread: Chance.nextApart.

--- a/core/src/main/java/embershift/policy/Chance.java
+++ b/core/src/main/java/embershift/policy/Chance.java
@@ -4,19 +4,33 @@
 import java.util.zip.CRC32;
 
 /** Chance that is the same again for the same seed: a checksum over it and a counter. */
-final class Chance {
+public final class Chance {
 
     private final long seed;
     private long draws;
 
-    Chance(long seed) {
+    public Chance(long seed) {
         this.seed = seed;
     }
 
     /** A number from [0, 1). */
-    double next() {
+    public double next() {
+        return sum() / (double) (1L << 32);
+    }
+
+    /**
+     * The same for numbers that are added up. Two nodes' checksums differ by the same bits at each draw, so that what one
+     * waits less now it often waits more next time, and who called together would again; multiplied and folded they don't.
+     */
+    public double nextApart() {
+        int mixed = (int) sum() * 0x9E3779B1;
+        mixed = (mixed ^ mixed >>> 15) * 0x85EBCA6B;
+        return ((mixed ^ mixed >>> 16) & 0xFFFFFFFFL) / (double) (1L << 32);
+    }
+
+    private long sum() {
         CRC32 crc = new CRC32();
         crc.update(ByteBuffer.allocate(16).putLong(seed).putLong(draws++).array());
-        return crc.getValue() / (double) (1L << 32);
+        return crc.getValue();
     }
 }
--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -82,6 +82,8 @@
     private static final double SHUN = 4;
     /** Hosts at most that a node which declines tunnels asks in a period. */
     private static final double LOOKS = 5;
+    /** Seconds between calls at the roster: its news count as told after six, and an answer may take two. */
+    private static final double CALL_AGAIN = 3.8;
     /** Part of a late host's tunnels that are moved at a time. */
     private static final double LATE_SHARE = 0.5;
 
@@ -202,7 +204,10 @@
             host.zone = listing.zone();
             host.cell = listing.cell();
         }
-        rosterAnswered();
+        if (deployment.rosterOnRequest() && watching) {
+            rosterCallAt = Double.POSITIVE_INFINITY;
+            rosterPatience = deployment.mustAskWithin() / 4;
+        }
     }
 
     @Override
@@ -230,19 +235,15 @@
         return hosts.computeIfAbsent(id, name -> seats.enrol(new Host(name), roll));
     }
 
-    private void rosterAnswered() {
-        if (deployment.rosterOnRequest() && watching) {
-            rosterCallAt = Double.POSITIVE_INFINITY;
-            rosterPatience = deployment.mustAskWithin() / 4;
-        }
-    }
-
     @Override
     public void rosterLost() {
-        // The watch may have broken: ask anew, later each time and out of step with other nodes.
+        // Ask anew, later each time, out of step with other nodes; a call that took long was wait enough.
+        double took = watching ? Math.max(0, now + deployment.mustAskWithin() - rosterCallAt) : 0;
+        double draw = chance.nextApart();
+        double pause = Math.min(rosterPatience * (0.25 + 0.5 * draw), CALL_AGAIN * (0.8 + 0.2 * draw) - took);
         rosterLostAt = watching ? now : rosterLostAt;
         watching = false;
-        rosterCallAt = now + rosterPatience * (0.25 + 0.5 * chance.next());
+        rosterCallAt = now + Math.max(0, pause);
         rosterPatience = Math.min(rosterPatience * 1.5, deployment.mustAskWithin() / 2);
     }
 
@@ -250,8 +251,7 @@
         if (now >= rosterCallAt) {
             decisions.watchRoster(true);
             watching = true;
-            // An answer that never comes counts as a failure.
-            rosterCallAt = now + deployment.mustAskWithin();
+            rosterCallAt = now + deployment.mustAskWithin();  // an answer that never comes is a failure
         }
     }
 
@@ -803,8 +803,7 @@
 
     /** Rule 4: a host that came back from death looks idle; a roster that is away or late does not tell. */
     private void doubt(Host host, double load) {
-        boolean rosterAway = rosterCallAt < Double.POSITIVE_INFINITY
-                && host.warming.beganBefore(rosterLostAt);
+        boolean rosterAway = Double.isFinite(rosterCallAt) && host.warming.beganBefore(rosterLostAt);
         host.load = Double.NaN;  // what it was before is no measure
         survey();
         if ((host.away || rosterAway) && !host.cold() && load < Math.min(usualLoad, ROOMY) / 2) {
--- a/core/src/test/java/embershift/policy/PolicyTest.java
+++ b/core/src/test/java/embershift/policy/PolicyTest.java
@@ -626,6 +626,30 @@
         assertTrue(node.round(news -> { }).contains("watch roster"));
     }
 
+    @Test
+    public void rosterIsCalledAgainInTimeHoweverLongACallTookToFail() {
+        for (double mustAsk : new double[] {9, 10, 30}) {
+            for (double took : new double[] {0, 0.5, 2, 3.8}) {
+                for (int seed = 0; seed < 10; seed++) {
+                    Node node = new Node(Repeat.REPEATABLE, DedupScope.ALL, 2, seed, Budget.NONE, 100, mustAsk);
+                    node.now += mustAsk;
+                    assertTrue(node.round(news -> { }).contains("watch roster"));
+                    for (int fails = 0; fails < 8; fails++) {
+                        double begun = node.now;
+                        node.now += took;
+                        List<String> said = node.round(News::rosterLost);
+                        while (!said.contains("watch roster")) {
+                            node.now += 0.01;
+                            said = node.round(news -> { });
+                        }
+                        // What the roster has counts as told six seconds after it is back, and an answer takes up to two.
+                        assertTrue(node.now - begun < 3.85, "called again after " + (node.now - begun));
+                    }
+                }
+            }
+        }
+    }
+
     @Test
     public void tunnelsOfADrainingHostAreMovedInTurn() {
         Node node = new Node(2).loads(0.1, 0.1);
--- a/node/src/main/java/embershift/routing/Roster.java
+++ b/node/src/main/java/embershift/routing/Roster.java
@@ -1,9 +1,11 @@
 package embershift.routing;
 
 import embershift.model.News;
+import embershift.policy.Chance;
 import embershift.protocol.HttpReply;
 import embershift.protocol.RosterPage;
 import embershift.protocol.Unreadable;
+import embershift.protocol.WatchSchedule;
 import embershift.transport.Link;
 import embershift.transport.Loop;
 
@@ -12,48 +14,33 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * The calls to discovery, one after the other on a kept connection: a watch is a chain of them. The module
- * says when to begin; a failed call ends the watch.
+ * The calls to discovery, one after the other on a kept connection. When they begin and are given up is decided by
+ * {@link WatchSchedule}; where the module is the one to ask, it may have them begin sooner after a failure.
  */
 final class Roster implements Link.Events {
 
-    /** Seconds that a call which goes on with a watch may wait for news at discovery, and that a first one may. */
-    private static final double WAIT = 3.0;
-    private static final double FIRST_WAIT = 2.0;
-    /**
-     * Seconds from a call until its answer must have come: a first one may have to wait for its turn as well. What a watch
-     * that fell silent has missed counts as told six seconds after that: there is to be time left for a call anew.
-     */
-    private static final double PATIENCE = 4.0;
-    /** Seconds between two calls where the first was answered at once with nothing new; a watch allows 0.2. */
-    private static final double PAUSE = 0.1;
-    /** Seconds until a watch that goes on by itself begins again after a failure, doubled at each further. */
-    private static final double LEAST_AGAIN = 0.5;
-    private static final double MOST_AGAIN = 4;
-
     private final Router router;
+    private final boolean byItself;
+    private final WatchSchedule schedule;
     private InetSocketAddress address;
     private String hostLine;
     private Link link;
     private HttpReply reply;
     private Loop.Timer timer;
-    private Loop.Timer pause;
-    private double calledAt;
     private long generation = -1;
     private boolean watching;
-    private boolean calling;
     private boolean wholeWanted;
-    /** What the call that is out asks for, and how long it may wait for it. */
+    /** Whether the call that is out asks for the whole list. */
     private boolean wholeAsked;
-    private double wait;
     private boolean usedBefore;
-    private boolean byItself;
     /** Lists come from elsewhere: discovery is not asked. */
     private boolean led;
-    private double again = LEAST_AGAIN;
 
-    Roster(Router router, InetSocketAddress address) {
+    /** {@code byItself}: the module counts on news that come unasked, and never asks for them. */
+    Roster(Router router, InetSocketAddress address, boolean byItself, long seed) {
         this.router = router;
+        this.byItself = byItself;
+        schedule = new WatchSchedule(byItself, new Chance(~seed)::nextApart);
         at(address);
     }
 
@@ -72,11 +59,7 @@
             return;
         }
         at(where);
-        hangUp();
-        if (calling) {
-            calling = false;
-            timer.cancel();
-        }
+        stop();
         generation = -1;
         watch(true);
     }
@@ -89,16 +72,8 @@
     void led(boolean on) {
         led = on;
         if (on) {
-            hangUp();
-            calling = false;
+            stop();
             wholeWanted = false;
-            if (timer != null) {
-                timer.cancel();
-            }
-            if (pause != null) {
-                pause.cancel();
-                pause = null;
-            }
         } else {
             generation = -1;
             if (watching || byItself) {
@@ -111,9 +86,15 @@
         this.generation = generation;
     }
 
+    private void stop() {
+        hangUp();
+        schedule.stopped();
+        follow();
+    }
+
     void watch(boolean on) {
         watching = on;
-        if (on && !calling && !led) {
+        if (on && !schedule.calling() && !led) {
             call();
         }
     }
@@ -124,23 +105,35 @@
             return;
         }
         wholeWanted = true;
-        if (!calling) {
+        if (!schedule.calling()) {
             call();
         }
     }
 
-    private void call() {
-        if (pause != null) {
-            pause.cancel();
-            pause = null;
+    /** Looks at the schedule again when something is due. */
+    private void follow() {
+        if (timer != null) {
+            timer.cancel();
+            timer = null;
         }
-        calling = true;
-        calledAt = router.now();
+        if (schedule.due() < Double.POSITIVE_INFINITY) {
+            timer = router.loop().after(Math.max(0, schedule.due() - router.now()), () -> {
+                if (schedule.calling()) {
+                    failed();
+                } else {
+                    call();
+                }
+            });
+        }
+    }
+
+    private void call() {
         reply = new HttpReply();
         router.tally().count("roster calls");
-        timer = router.loop().after(PATIENCE, () -> failed("no answer"));
+        usedBefore = link != null;
+        schedule.called(router.now(), usedBefore);
+        follow();
         if (link == null) {
-            usedBefore = false;
             link = router.loop().connect(address, this);
         } else {
             send();
@@ -149,8 +142,7 @@
 
     private void send() {
         wholeAsked = wholeWanted || generation < 0;
-        wait = usedBefore ? WAIT : FIRST_WAIT;
-        String query = wholeAsked ? "" : "?after=" + generation + "&wait_ms=" + (long) (wait * 1000);
+        String query = wholeAsked ? "" : "?after=" + generation + "&wait_ms=" + (long) (schedule.mayWait() * 1000);
         link.write(ByteBuffer.wrap(("GET /api/targets" + query + " HTTP/1.1\r\n" + hostLine
                 + "\r\nAccept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
     }
@@ -162,68 +154,65 @@
         }
     }
 
-    private void failed(String why) {
+    private void failed() {
         hangUp();
-        if (!calling) {
+        if (!schedule.calling()) {
             return;
         }
-        calling = false;
         wholeWanted = false;
-        watching = false;
-        timer.cancel();
-        router.tally().count("roster calls failed");
-        if (byItself) {
-            // The module, which has never asked, would have no time by which to ask again.
-            pause = router.loop().after(again, () -> watch(true));
-            again = Math.min(2 * again, MOST_AGAIN);
+        if (watching) {
+            schedule.failed(router.now());
         } else {
+            schedule.stopped();
+        }
+        router.tally().count("roster calls failed");
+        goOn();
+        if (!byItself) {
             router.hear(News::rosterLost);
         }
     }
 
-    /** Watches without being told to, where the module counts on news that come unasked. */
-    void watchByItself() {
-        byItself = true;
-        watch(true);
-    }
-
     private void answered() {
-        calling = false;
-        timer.cancel();
         if (!reply.keptOpen()) {
             hangUp();
         }
         if (reply.status() != 200) {
-            calling = true;
-            failed("status " + reply.status());
+            failed();
             return;
         }
-        boolean news;
+        RosterPage page;
         try {
-            RosterPage page = RosterPage.read(reply.body());
-            if (usedBefore && page.generation() < generation) {
-                // On one connection versions only grow: this is an earlier answer that came once more.
-                outOfStep();
-                return;
-            }
-            // A discovery that came back may count anew: what has changed since its first version is not all that has.
-            boolean counted = page.whole() || page.generation() >= generation;
-            usedBefore = true;
-            news = page.generation() != generation || router.now() >= calledAt + wait / 2;
-            wholeWanted = wholeWanted && !page.whole() && !wholeAsked || !counted;
-            again = LEAST_AGAIN;
-            generation = page.generation();
-            router.discoverySaid(page);
+            page = RosterPage.read(reply.body());
         } catch (Unreadable e) {
-            calling = true;
-            failed(e.getMessage());
+            failed();
             return;
         }
-        if (wholeWanted || watching && news) {
+        if (usedBefore && page.generation() < generation) {
+            // On one connection versions only grow: this is an earlier answer that came once more.
+            outOfStep();
+            return;
+        }
+        // A discovery that came back may count anew: what has changed since its first version is not all that has.
+        boolean counted = page.whole() || page.generation() >= generation;
+        wholeWanted = wholeWanted && !page.whole() && !wholeAsked || !counted;
+        schedule.answered(router.now(), page.generation() != generation);
+        generation = page.generation();
+        router.discoverySaid(page);
+        if (led || !watching && !wholeWanted) {
+            schedule.stopped();
+            follow();
+        } else if (wholeWanted) {
+            call();
+        } else {
+            goOn();
+        }
+    }
+
+    private void goOn() {
+        if (schedule.due() <= router.now()) {
             call();
-        } else if (watching) {
-            // Guards against a discovery that does not wait: calls would come as fast as it answers.
-            pause = router.loop().after(PAUSE, this::call);
+        } else {
+            follow();
         }
     }
 
@@ -236,7 +225,7 @@
 
     @Override
     public void connected() {
-        if (calling) {
+        if (schedule.calling()) {
             send();
         }
     }
@@ -244,12 +233,12 @@
     @Override
     public void notConnected() {
         link = null;
-        failed("no connection");
+        failed();
     }
 
     @Override
     public void received(ByteBuffer bytes) {
-        if (!calling) {
+        if (!schedule.calling()) {
             hangUp();
             return;
         }
@@ -262,7 +251,7 @@
                 answered();
             }
         } catch (Unreadable e) {
-            failed(e.getMessage());
+            failed();
         }
     }
 
@@ -278,17 +267,16 @@
 
     private void gone() {
         hangUp();
-        if (!calling) {
+        if (!schedule.calling()) {
             return;
         }
         if (reply.end()) {
             answered();
         } else if (usedBefore && !reply.begun()) {
             // A kept connection may be ended by the other side just as a call goes out on it.
-            timer.cancel();
             call();
         } else {
-            failed("connection broke");
+            failed();
         }
     }
 }
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -107,7 +107,7 @@
         descriptors = configuration.sockets();
         strangers = new Strangers(loop, tally, () -> unlinked);
         limitStrangers();
-        roster = new Roster(this, configuration.discovery());
+        roster = new Roster(this, configuration.discovery(), !deployment.rosterOnRequest(), deployment.seed());
         peers = new Peers(this, configuration);
         if (configuration.known() != null) {
             RosterPage known = configuration.known();
@@ -116,7 +116,7 @@
             hear(news -> news.rosterListed(known.listings(), true));
         }
         if (!deployment.rosterOnRequest()) {
-            roster.watchByItself();
+            roster.watch(true);
         }
         sweep();
     }
