--- a/hosted/src/main/java/embershift/hosted/Discovery.java
+++ b/hosted/src/main/java/embershift/hosted/Discovery.java
@@ -5,6 +5,7 @@
 import embershift.door.Words;
 import embershift.protocol.HttpReply;
 import embershift.protocol.Unreadable;
+import embershift.protocol.WatchSchedule;
 import embershift.transport.Link;
 import embershift.transport.Loop;
 
@@ -12,17 +13,15 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 
-/** A watch at discovery: one call after the other, each waiting for news there. Keeps the whole list; on a loop. */
+/**
+ * A watch at discovery: one call after the other, each waiting for news there, at the times of {@link WatchSchedule}.
+ * Keeps the whole list; on a loop.
+ */
 final class Discovery implements Link.Events {
 
-    private static final double WAIT = 3;
-    private static final double PATIENCE = 2;
-    private static final double PAUSE = 0.1;
-    private static final double LEAST_AGAIN = 0.2;
-    private static final double MOST_AGAIN = 3;
-
     /** Hears of each answer. {@code anew}: the generations before it are those of another. */
     interface Listener {
         void heard(long generation, Map<String, String> whole, boolean anew);
@@ -32,15 +31,14 @@
     private final InetSocketAddress address;
     private final Listener listener;
     private final TreeMap<String, String> entries = new TreeMap<>();
+    private final WatchSchedule schedule = new WatchSchedule(true, new Random()::nextDouble);
     private long generation = -1;
     private Link link;
     private HttpReply reply;
     private Loop.Timer timer;
     private boolean closed;
-    private boolean calling;
     /** Whether this connection has brought an answer: from then on its versions only grow. */
     private boolean answeredHere;
-    private double again = LEAST_AGAIN;
     private double heardAt = Double.NEGATIVE_INFINITY;
     private long calls;
 
@@ -65,13 +63,10 @@
     }
 
     private void call() {
-        if (closed || calling) {
-            return;
-        }
-        calling = true;
         calls++;
         reply = new HttpReply();
-        timer = loop.after(WAIT + PATIENCE, this::failed);
+        schedule.called(loop.now(), link != null);
+        follow();
         if (link == null) {
             answeredHere = false;
             link = loop.connect(address, this);
@@ -80,19 +75,28 @@
         }
     }
 
+    /** Looks at the schedule again when something is due. */
+    private void follow() {
+        if (timer != null) {
+            timer.cancel();
+            timer = null;
+        }
+        if (!closed) {
+            timer = loop.after(Math.max(0, schedule.due() - loop.now()), schedule.calling() ? this::failed : this::call);
+        }
+    }
+
     private void send() {
-        String query = generation < 0 ? "" : "?after=" + generation + "&wait_ms=" + (long) (WAIT * 1000);
+        String query = generation < 0 ? "" : "?after=" + generation + "&wait_ms=" + (long) (schedule.mayWait() * 1000);
         link.write(ByteBuffer.wrap(("GET /api/targets" + query + " HTTP/1.1\r\nHost: " + address.getAddress().getHostAddress()
                 + ":" + address.getPort() + "\r\nAccept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
     }
 
     private void failed() {
         hangUp();
-        if (calling) {
-            calling = false;
-            timer.cancel();
-            loop.after(again, this::call);
-            again = Math.min(MOST_AGAIN, 2 * again);
+        if (schedule.calling()) {
+            schedule.failed(loop.now());
+            goOn();
         }
     }
 
@@ -112,9 +116,6 @@
             failed();
             return;
         }
-        calling = false;
-        timer.cancel();
-        again = LEAST_AGAIN;
         heardAt = loop.now();
         long told = page.path("generation").asLong();
         boolean whole = page.path("reset").asBoolean() || generation < 0;
@@ -126,11 +127,11 @@
             return;
         }
         answeredHere = true;
-        boolean news = told != generation;
+        schedule.answered(loop.now(), told != generation);
         if (anew && !whole) {
             // Changes against a list that nobody here has.
             generation = -1;
-            loop.after(PAUSE, this::call);
+            goOn();
             return;
         }
         if (whole) {
@@ -143,25 +144,27 @@
         }
         generation = told;
         listener.heard(told, entries, anew);
-        if (news) {
+        goOn();
+    }
+
+    private void goOn() {
+        if (!closed && schedule.due() <= loop.now()) {
             call();
         } else {
-            loop.after(PAUSE, this::call);
+            follow();
         }
     }
 
     void close() {
         closed = true;
-        calling = false;
-        if (timer != null) {
-            timer.cancel();
-        }
+        schedule.stopped();
+        follow();
         hangUp();
     }
 
     @Override
     public void connected() {
-        if (calling) {
+        if (schedule.calling()) {
             send();
         }
     }
@@ -175,7 +178,7 @@
     @Override
     public void received(ByteBuffer bytes) {
         try {
-            if (calling && reply.take(bytes)) {
+            if (schedule.calling() && reply.take(bytes)) {
                 if (bytes.hasRemaining()) {
                     // More than was asked for: the rest of it would be taken for the next answer.
                     hangUp();
@@ -190,7 +193,7 @@
     @Override
     public void ended() {
         try {
-            if (calling && reply.end()) {
+            if (schedule.calling() && reply.end()) {
                 hangUp();
                 answered();
                 return;
--- a/hosted/src/test/java/embershift/hosted/DiscoveryTest.java
+++ b/hosted/src/test/java/embershift/hosted/DiscoveryTest.java
@@ -17,6 +17,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -26,6 +27,7 @@
     private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
     private Loop loop;
     private ServerSocket server;
+    private volatile Discovery discovery;
 
     @BeforeMethod
     public void begin() throws IOException {
@@ -33,7 +35,7 @@
         loop = new Loop();
         server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
         server.setSoTimeout(10_000);
-        loop.execute(() -> new Discovery(loop, new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
+        loop.execute(() -> discovery = new Discovery(loop, new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
                 (generation, whole, anew) -> heard.add(generation + " " + whole.values() + " " + anew)));
     }
 
@@ -88,7 +90,7 @@
         call(lines);
         say(call, answer(2, true, "in_service"));
         Socket again = called();
-        assertEquals(call(lines(again)), "GET /api/targets?after=3&wait_ms=3000 HTTP/1.1");
+        assertEquals(call(lines(again)), "GET /api/targets?after=3&wait_ms=1600 HTTP/1.1");
         assertEquals(heard.size(), 0);
     }
 
@@ -99,11 +101,26 @@
         say(call, answer(2, true, "in_service") + answer(2, true, "in_service").substring(0, 30));
         assertTrue(next().startsWith("2 "));
         Socket again = called();
-        assertEquals(call(lines(again)), "GET /api/targets?after=2&wait_ms=3000 HTTP/1.1");
+        assertEquals(call(lines(again)), "GET /api/targets?after=2&wait_ms=1600 HTTP/1.1");
         say(again, answer(3, false, "terminating"));
         assertTrue(next().startsWith("3 "));
     }
 
+    @Test
+    public void callThatBringsNothingIsMadeAnewWhileThereIsTimeForItsAnswer() throws Exception {
+        Socket call = called();
+        call(lines(call));
+        say(call, answer(2, true, "in_service").substring(0, 60));
+        CompletableFuture<Long> calls = new CompletableFuture<>();
+        // It is given up after 3.8 s. On the loop's own clock: a busy machine holds up both.
+        loop.execute(() -> loop.after(4.4, () -> calls.complete(discovery.calls())));
+        Socket again = called();
+        assertEquals((long) calls.get(), 2);
+        call(lines(again));
+        say(again, answer(2, true, "terminating"));
+        assertTrue(next().contains("terminating"));
+    }
+
     @Test
     public void versionsThatBeginAnewOnAnotherConnectionAreTaken() throws Exception {
         Socket call = called();
