--- a/core/src/test/java/embershift/policy/Node.java
+++ b/core/src/test/java/embershift/policy/Node.java
@@ -26,6 +26,8 @@
  */
 final class Node implements Decisions {
 
+    private static final double MUST_ASK = 10;
+
     final Policy policy;
     final Filling filling;
     /** Setups sent from the start on. */
@@ -57,8 +59,17 @@
         this(profiles, hosts, seed, budget, nodes, 0, true);
     }
 
+    /** A node of a hundred that has to ask the roster within {@code mustAsk} seconds. */
+    static Node asking(double mustAsk, long seed) {
+        return new Node(deployment(profiles(Repeat.REPEATABLE, DedupScope.ALL), mustAsk, seed, Budget.NONE, 100, 0, true, 0.3, 8,
+                3, 2), 2);
+    }
+
     private Node(List<Profile> profiles, int hosts, long seed, Budget budget, int nodes, int rank, boolean reportsCapacity) {
-        Deployment deployment = deployment(profiles, seed, budget, nodes, rank, reportsCapacity, 0.3, 8, 3, 2);
+        this(deployment(profiles, MUST_ASK, seed, budget, nodes, rank, reportsCapacity, 0.3, 8, 3, 2), hosts);
+    }
+
+    private Node(Deployment deployment, int hosts) {
         filling = new Filling(deployment);
         policy = new Policy(deployment, filling);
         List<Listing> listings = new ArrayList<>();
@@ -74,14 +85,14 @@
 
     static Deployment deployment(Repeat repeat, DedupScope scope, long seed, Budget budget, int nodes, int rank,
                                  double coldFrom, double warmAfter, double fallMultiple, double fallAfter) {
-        return deployment(profiles(repeat, scope), seed, budget, nodes, rank, true, coldFrom, warmAfter, fallMultiple,
+        return deployment(profiles(repeat, scope), MUST_ASK, seed, budget, nodes, rank, true, coldFrom, warmAfter, fallMultiple,
                 fallAfter);
     }
 
-    private static Deployment deployment(List<Profile> profiles, long seed, Budget budget, int nodes, int rank,
+    private static Deployment deployment(List<Profile> profiles, double mustAsk, long seed, Budget budget, int nodes, int rank,
                                          boolean reportsCapacity, double coldFrom, double warmAfter, double fallMultiple,
                                          double fallAfter) {
-        return new Deployment(seed, nodes, rank, new ZoneId("near"), profiles, true, 10, true, true, reportsCapacity, true,
+        return new Deployment(seed, nodes, rank, new ZoneId("near"), profiles, true, mustAsk, true, true, reportsCapacity, true,
                 false, 4, true, 1.5, 0.25, 0.016, 0.5, coldFrom, warmAfter, fallMultiple, fallAfter, budget, false, 0);
     }
 
