--- a/node/src/test/java/embershift/routing/StandingTermsTest.java
+++ b/node/src/test/java/embershift/routing/StandingTermsTest.java
@@ -46,7 +46,7 @@
 
     @DataProvider
     public Object[][] cut() {
-        return new Object[][] {{""}, {"U"}, {"UP r"}, {"UP r\r"}, {"BUSY"}, {"\0"}};
+        return new Object[][] {{""}, {"U"}, {"UP r"}, {"UP r\r"}, {"BUSY"}, {"HTTP/1.1 5"}};
     }
 
     @Test(dataProvider = "cut")
