--- a/core/src/main/java/embershift/policy/Filling.java
+++ b/core/src/main/java/embershift/policy/Filling.java
@@ -34,8 +34,8 @@
 
     /** A host's latest report: load over what it can do now, and the tunnels that make it. */
     void add(Policy.Host host) {
-        // Numbers of tunnels tell no part of what a host can do: what it carries then counts as its fill, or one
-        // tunnel would be taken to fill a host.
+        // Numbers tell no part of what a host can do: what it carries counts as its fill then, or one tunnel
+        // would be taken to fill a host.
         double load = deployment.reportsCapacity() ? host.load : 1;
         if (host.heard() && host.cold() && deployment.reportsCapacity()) {
             coldLoads += load;
