What a node's yes waits for, on a page and measured: rig starts; tests that no discovery holds it back

Need: nine in ten restarted processes are to be ready within 10 s, thirty at once on a tenth of a core each, whatever discovery does.

Read: Service.serve says SERVING behind the operators' and the clients' listeners, all in one task of the loop; Roster's first call goes out beside it; addresses are numbers; locks in $TMPDIR are tried, not waited for. So the suspicion that discovery holds a start back is not borne out, and nothing in the node is changed. The bound is processor time.

New: rig starts (30 nodes at once by the platform's run, killed and started again at their addresses, six kinds of discovery dealt out); docs/node.md has a section Ready; ReadyTest (refused, silent, cut in half, never-ending) and StartsTest.

--- a/rig/src/main/java/embershift/rig/Main.java
+++ b/rig/src/main/java/embershift/rig/Main.java
@@ -4,12 +4,14 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import embershift.rig.process.FirstDiscovery;
 import embershift.rig.process.FleetMeasure;
 import embershift.rig.process.FleetPlay;
 import embershift.rig.process.Instances;
 import embershift.rig.process.Measure;
 import embershift.rig.process.Play;
 import embershift.rig.process.Schedule;
+import embershift.rig.process.Starts;
 import embershift.rig.world.FleetWorld;
 import embershift.rig.world.ReleaseWorld;
 import embershift.rig.world.Worlds;
@@ -18,7 +20,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /** The rig's command line: schedules with real processes, and simulated worlds. */
 public final class Main {
@@ -217,25 +221,86 @@
         }
     }
 
+    @Parameters(commandDescription = "How long nodes take until they are ready, many started at once, whatever discovery does; exit 1 "
+            + "where fewer than nine in ten are within 10 s")
+    private static final class StartTimes implements Command {
+        @Parameter(names = "--times", description = "How many starts at least; each round is played whole")
+        int times = 100;
+
+        @Parameter(names = "--together", description = "How many at once")
+        int together = 30;
+
+        @Parameter(names = "--hosts", description = "How many hosts stand in the list that they start with")
+        int hosts = 90;
+
+        @Parameter(names = "--discovery", description = "What discovery does: sound, refused, silent, slow, half, endless; dealt out in turn")
+        List<FirstDiscovery.Kind> discovery = List.of(FirstDiscovery.Kind.values());
+
+        @Parameter(names = "--deployment", description = "The file whose run starts a node, from the folder that this is called in")
+        String deployment = "deploy/balancer.toml";
+
+        @Override
+        public int run() throws IOException, Schedule.Unreadable {
+            if (times < 1 || together < 1 || together > 100 || hosts < 1 || hosts > 500) {
+                throw new ParameterException("--times takes 1 or more, --together 1 to 100, --hosts 1 to 500");
+            }
+            List<String> line = List.of("bash", "-c", Starts.platforms(Path.of(deployment)));
+            Path folder = Files.createTempDirectory("rig");
+            List<Starts.Start> all = new ArrayList<>();
+            try (Starts starts = new Starts(folder, line, together, hosts, discovery)) {
+                while (all.size() < times) {
+                    all.addAll(starts.round());
+                }
+            }
+            if (!Starts.tell(all, together)) {
+                System.out.println("what is left of the run: " + folder);
+                return BROKEN;
+            }
+            Instances.delete(folder);
+            return 0;
+        }
+    }
+
+    /** Of the program, and of each command. */
+    private static final class Help {
+        @Parameter(names = {"--help", "-h"}, description = "Say what there is", help = true)
+        private boolean wanted;
+    }
+
     public static void main(String[] args) {
-        JCommander line = JCommander.newBuilder().programName("embershift-rig").addCommand("play", new PlayIt())
-                .addCommand("hunt", new Hunt()).addCommand("worlds", new Simulate())
-                .addCommand("measure", new Figures()).addCommand("fleets", new Fleets())
-                .addCommand("hunt-fleet", new FleetHunt())
-                .addCommand("measure-fleet", new FleetFigures()).build();
+        System.exit(run(args));
+    }
+
+    /** The exit status. */
+    public static int run(String[] args) {
+        Help help = new Help();
+        JCommander line = JCommander.newBuilder().programName("embershift-rig").addObject(help).build();
+        Map<String, Command> commands = new LinkedHashMap<>();
+        commands.put("play", new PlayIt());
+        commands.put("hunt", new Hunt());
+        commands.put("worlds", new Simulate());
+        commands.put("measure", new Figures());
+        commands.put("fleets", new Fleets());
+        commands.put("hunt-fleet", new FleetHunt());
+        commands.put("measure-fleet", new FleetFigures());
+        commands.put("starts", new StartTimes());
+        commands.forEach((name, command) -> line.addCommand(name, List.of(command, help)));
         try {
             line.parse(args);
+            if (help.wanted) {
+                (line.getParsedCommand() == null ? line : line.getCommands().get(line.getParsedCommand())).usage();
+                return 0;
+            }
             if (line.getParsedCommand() == null) {
-                throw new ParameterException("play, hunt, worlds, fleets, hunt-fleet, measure or measure-fleet is wanted");
+                throw new ParameterException("a command is wanted: " + String.join(", ", commands.keySet()));
             }
-            Command command = (Command) line.getCommands().get(line.getParsedCommand()).getObjects().get(0);
-            System.exit(command.run());
+            return commands.get(line.getParsedCommand()).run();
         } catch (ParameterException | Schedule.Unreadable e) {
             System.err.println(e.getMessage().lines().findFirst().orElse(""));
-            System.exit(USAGE);
+            return USAGE;
         } catch (IOException e) {
             System.err.println(e);
-            System.exit(BROKEN);
+            return BROKEN;
         }
     }
 }
--- a/rig/src/main/java/embershift/rig/process/HostsStand.java
+++ b/rig/src/main/java/embershift/rig/process/HostsStand.java
@@ -155,7 +155,8 @@
         });
     }
 
-    private synchronized String page() {
+    /** The list that discovery tells now. */
+    synchronized String page() {
         StringBuilder page = new StringBuilder("{\"generation\":" + generation + ",\"reset\":true,\"instances\":[");
         String comma = "";
         for (Map.Entry<String, Host> each : hosts.entrySet()) {
