--help at each command of each program says what it takes; what is unknown is one line and status 2

Change: one parameter of the program and of each command, also of the administrator's fleet commands. Each program's command line is run(), which gives its exit status, so that it can be tested in one process.

--- a/door/src/main/java/embershift/door/Main.java
+++ b/door/src/main/java/embershift/door/Main.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.List;
 
 /** The command line of a node with a door. The platform's run starts the node without this. */
 public final class Main {
@@ -57,26 +58,46 @@
     private static final class Check extends Given {
     }
 
+    /** Of the program, and of each command. */
+    private static final class Help {
+        @Parameter(names = {"--help", "-h"}, description = "Say what there is", help = true)
+        private boolean wanted;
+    }
+
     public static void main(String[] args) {
+        int status = run(args);
+        if (status >= 0) {
+            System.exit(status);
+        }
+    }
+
+    /** The exit status; negative: the program goes on by itself. */
+    public static int run(String[] args) {
         Serve serve = new Serve();
         Check check = new Check();
-        JCommander line = JCommander.newBuilder().programName("embershift-door").addCommand("serve", serve)
-                .addCommand("check", check).build();
+        Help help = new Help();
+        JCommander line = JCommander.newBuilder().programName("embershift-door").addObject(help).addCommand("serve", List.of(serve, help))
+                .addCommand("check", List.of(check, help)).build();
         try {
             line.parse(args);
-            if ("serve".equals(line.getParsedCommand())) {
+            if (help.wanted) {
+                (line.getParsedCommand() == null ? line : line.getCommands().get(line.getParsedCommand())).usage();
+                return 0;
+            } else if ("serve".equals(line.getParsedCommand())) {
                 Service.start(serve::read, new Door(serve.door()));
+                return -1;
             } else if ("check".equals(line.getParsedCommand())) {
                 System.out.println("sound: " + check.read().name() + " takes orders of " + String.join(", ", check.door().instances()));
+                return 0;
             } else {
                 throw new ParameterException("serve or check is wanted");
             }
         } catch (ParameterException | Unreadable | Toml.Unusable e) {
             System.err.println(e.getMessage().lines().findFirst().orElse(""));
-            System.exit(USAGE);
+            return USAGE;
         } catch (IOException e) {
             System.err.println("can't start: " + e.getMessage());
-            System.exit(CANNOT_START);
+            return CANNOT_START;
         }
     }
 }
--- a/emulator/src/main/java/embershift/emulator/Main.java
+++ b/emulator/src/main/java/embershift/emulator/Main.java
@@ -287,12 +287,20 @@
         }
     }
 
+    /** Of the program, and of each command. */
     private static final class Help {
         @Parameter(names = {"--help", "-h"}, description = "Say what there is", help = true)
         private boolean wanted;
     }
 
     public static void main(String[] args) {
+        int status = run(args);
+        System.out.flush();
+        System.exit(status);
+    }
+
+    /** The exit status. */
+    public static int run(String[] args) {
         Map<String, Command> commands = new LinkedHashMap<>();
         commands.put("check", new Check());
         commands.put("run", new Run());
@@ -303,24 +311,22 @@
         Help help = new Help();
         JCommander line = new JCommander(help);
         line.setProgramName("java -jar embershift-emulator.jar");
-        commands.forEach(line::addCommand);
-        int status = USAGE;
+        commands.forEach((name, command) -> line.addCommand(name, List.of(command, help)));
         try {
             line.parse(args);
             if (help.wanted) {
-                line.usage();
-                return;
+                (line.getParsedCommand() == null ? line : line.getCommands().get(line.getParsedCommand())).usage();
+                return 0;
             }
             if (line.getParsedCommand() == null) {
                 throw new ParameterException("a sub-command is wanted: " + String.join(", ", commands.keySet()));
             }
-            status = commands.get(line.getParsedCommand()).run();
+            return commands.get(line.getParsedCommand()).run();
         } catch (ParameterException | UnreadableDay e) {
             System.err.println("embershift-emulator: " + e.getMessage());
         } catch (IOException e) {
             System.err.println("embershift-emulator: " + e.getClass().getSimpleName() + ": " + e.getMessage());
         }
-        System.out.flush();
-        System.exit(status);
+        return USAGE;
     }
 }
--- a/hosted/src/main/java/embershift/hosted/FleetCommands.java
+++ b/hosted/src/main/java/embershift/hosted/FleetCommands.java
@@ -356,10 +356,14 @@
         commands.put("transfer", new Transfer());
         OrderCommands.all().forEach(commands::put);
         commands.put("audit", new AuditCommand());
-        JCommander line = JCommander.newBuilder().programName("embershift-hosted fleet").build();
-        commands.forEach(line::addCommand);
+        Main.Help help = new Main.Help();
+        JCommander line = JCommander.newBuilder().programName("embershift-hosted fleet").addObject(help).build();
+        commands.forEach((name, command) -> line.addCommand(name, List.of(command, help)));
         try {
             line.parse(args);
+            if (help.given(line)) {
+                return 0;
+            }
             if (line.getParsedCommand() == null) {
                 throw new ParameterException("wanted: one of " + String.join(", ", commands.keySet()));
             }
--- a/hosted/src/main/java/embershift/hosted/Main.java
+++ b/hosted/src/main/java/embershift/hosted/Main.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
 
 /** The command line of the hosted program. */
 public final class Main {
@@ -36,6 +37,24 @@
     private static final class Check extends Installed {
     }
 
+    /** Of the program, and of each command. */
+    static final class Help {
+        @Parameter(names = {"--help", "-h"}, description = "Say what there is", help = true)
+        private boolean wanted;
+
+        /** Whether it was asked for; then it has been given. */
+        boolean given(JCommander line) {
+            if (wanted) {
+                (line.getParsedCommand() == null ? line : line.getCommands().get(line.getParsedCommand())).usage();
+            }
+            return wanted;
+        }
+    }
+
+    @Parameters(commandDescription = "Administrators' commands; fleet --help tells them")
+    private static final class Fleet {
+    }
+
     public static void main(String[] args) {
         int status = run(args);
         if (status >= 0) {
@@ -48,13 +67,18 @@
         Instances instances = new Instances();
         Check check = new Check();
         FleetCommands fleet = new FleetCommands();
-        JCommander line = JCommander.newBuilder().programName("embershift-hosted").addCommand("instance", instances)
-                .addCommand("check", check).addCommand("fleet", new Object()).build();
+        Help help = new Help();
+        JCommander line = JCommander.newBuilder().programName("embershift-hosted").addObject(help)
+                .addCommand("instance", List.of(instances, help)).addCommand("check", List.of(check, help))
+                .addCommand("fleet", new Fleet()).build();
         if (args.length > 0 && args[0].equals("fleet")) {
             return fleet.run(Arrays.copyOfRange(args, 1, args.length));
         }
         try {
             line.parse(args);
+            if (help.given(line)) {
+                return 0;
+            }
             if ("instance".equals(line.getParsedCommand())) {
                 Instance.start(instances.read());
                 return -1;
--- a/node/src/main/java/embershift/program/Main.java
+++ b/node/src/main/java/embershift/program/Main.java
@@ -15,6 +15,7 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 
 /** The command line. */
@@ -93,6 +94,7 @@
         }
     }
 
+    /** Of the program, and of each command. */
     private static final class Help {
         @Parameter(names = {"--help", "-h"}, description = "Say what there is", help = true)
         private boolean wanted;
@@ -118,30 +120,35 @@
     }
 
     public static void main(String[] args) throws IOException {
+        int status = run(args);
+        if (status >= 0) {
+            System.out.flush();
+            System.exit(status);
+        }
+    }
+
+    /** The exit status; negative: the program goes on by itself. */
+    public static int run(String[] args) throws IOException {
         Map<String, Command> commands = Map.of("serve", new Serve(), "adapter", new Bench(),
                 "version", new Version(), "check", new Check(),
                 "rehearse", new Rehearse());
         Help help = new Help();
         JCommander line = new JCommander(help);
         line.setProgramName("java -jar embershift.jar");
-        commands.keySet().stream().sorted().forEach(name -> line.addCommand(name, commands.get(name)));
+        commands.keySet().stream().sorted().forEach(name -> line.addCommand(name, List.of(commands.get(name), help)));
         try {
             line.parse(args);
             if (help.wanted) {
-                line.usage();
-                return;
+                (line.getParsedCommand() == null ? line : line.getCommands().get(line.getParsedCommand())).usage();
+                return 0;
             }
             if (line.getParsedCommand() == null) {
                 throw new ParameterException("a sub-command is wanted: adapter, check, rehearse, serve or version");
             }
-            int status = commands.get(line.getParsedCommand()).run();
-            if (status >= 0) {
-                System.out.flush();
-                System.exit(status);
-            }
+            return commands.get(line.getParsedCommand()).run();
         } catch (ParameterException | Unreadable e) {
             System.err.println("embershift: " + e.getMessage());
-            System.exit(USAGE);
+            return USAGE;
         }
     }
 }
