--- a/core/src/main/java/embershift/policy/Policy.java
+++ b/core/src/main/java/embershift/policy/Policy.java
@@ -180,7 +180,7 @@
         placeWaiting();
         moveDeparting();
         followRoster();
-        wake(probe());
+        wake(Math.min(probe(), farewell.nextQuestion()));
     }
 
     // ---- The roster ----
@@ -504,9 +504,9 @@
         // A slow session store, or whatever all setups share, only queues those cut off at the goal again.
         double usual = opened.sum(now) / Math.max(1, opened.count(now));
         double patience = SLOW_SETUP * Math.max(tunnel.profile.setupGoal(), usual);
-        // Timed out, a once-only tunnel, or one whose window is over by then, could neither go again nor be declined.
-        boolean last = tunnel.setups + 1 >= deployment.mostSetups() || tunnel.profile.repeat() == Repeat.ONCE_ONLY
-                || tunnel.profile.repeat() == Repeat.REFERENCED
+        // Timed out, a once-only tunnel, or one past its window, could neither go again nor be declined.
+        boolean last = tunnel.setups + 1 >= deployment.mostSetups()
+                || tunnel.profile.repeat() == Repeat.ONCE_ONLY || tunnel.profile.repeat() == Repeat.REFERENCED
                 && now + patience >= tunnel.firstSentAt + tunnel.profile.dedupWindow();
         double timeOut = last ? 0 : Math.min(tunnel.clientGivesUpAt - now, patience);
         tunnel.setups++;
@@ -928,8 +928,8 @@
 
     // ---- Time ----
 
-    private void wake(double nextProbe) {
-        double next = Math.min(Math.min(rosterCallAt, nextProbe), Math.min(departures.next(), farewell.nextQuestion()));
+    private void wake(double asked) {
+        double next = Math.min(Math.min(rosterCallAt, asked), departures.next());
         if (!waiting.isEmpty()) {
             next = Math.min(next, now + PERIOD / 10);
         }
