No connection to a host is begun for a client that has gone

A client that closes or cancels has gone: no attempt may begin more than 0.1 s later, and a host may count an attempt from its connection on. The client was looked at right before the first line was written (Setup.connected), but not before the connection was begun (Setup.begin): a round that was decided on stale news, behind a pause of the process or in the wake-up that also brought the client's end, connected for clients that had left. Hosts then saw an empty connection.

Passage.setUp now reads the client's socket first, on every way to an attempt: the module's decisions, the list that names a standing tunnel's host, the timer of its next try. As that may come amid what another link has read, Link.look has a buffer of its own, and the list of unplaced tunnels is gone through over a copy. No attempt goes over a kept connection: those carry questions alone.

Measured on loopback, at the host: DepartedClientsTest stops the process for 0.15 s between what decides and the attempt, for six occasions (first line, BUSY, ERR, reset, time-out, answered question) and six ways of going, and for standing tunnels.

--- a/node/src/main/java/embershift/routing/Passage.java
+++ b/node/src/main/java/embershift/routing/Passage.java
@@ -181,14 +181,20 @@
 
     // ---- Decisions ----
 
-    /** Sends the next setup; {@code timeOut} 0 waits as long as the client does. */
-    void setUp(Contact contact, double timeOut) {
+    /** Sends the next setup, unless the client has left; {@code timeOut} 0 waits as long as the client does. */
+    boolean setUp(Contact contact, double timeOut) {
+        // What was decided may be late: a list that came in the same wake-up, a round behind a pause of the process. A host
+        // may count an attempt from its connection on, so the client is looked at before that is begun.
+        if (state == State.TAKEN) {
+            client.look();
+        }
         if (state != State.TAKEN) {
-            return;
+            return false;
         }
         double left = timeLeft(router.now());
         setup = new Setup(contact, setups++);
         setup.begin(timeOut == 0 ? left : Math.min(left, timeOut));
+        return true;
     }
 
     void cancel(int number) {
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -484,7 +484,12 @@
         addresses(page);
         hear(page.whole() ? news -> news.rosterListed(page.listings(), false)
                 : news -> news.rosterChanged(page.listings()));
-        unplaced.removeIf(this::resume);
+        // Over a copy: a client that is found to have left takes its tunnel off the list by itself.
+        for (Passage passage : List.copyOf(unplaced)) {
+            if (resume(passage)) {
+                unplaced.remove(passage);
+            }
+        }
     }
 
     private Contact contact(HostId host) {
@@ -515,9 +520,8 @@
     @Override
     public void setUp(TunnelId id, HostId host, double timeOut) {
         Passage passage = passages.get(id);
-        if (passage != null) {
+        if (passage != null && passage.setUp(contact(host), timeOut)) {
             contact(host).setUps++;
-            passage.setUp(contact(host), timeOut);
         }
     }
 
--- a/node/src/main/java/embershift/transport/Link.java
+++ b/node/src/main/java/embershift/transport/Link.java
@@ -116,8 +116,13 @@
     }
 
     private void read(ConduitStreamSourceChannel source) {
+        read(source, null);
+    }
+
+    /** Reads into {@code own}, or into the buffer of all links where that is null. */
+    private void read(ConduitStreamSourceChannel source, ByteBuffer own) {
         for (int i = 0; i < READS && receiving && !closed && !peerEnded; i++) {
-            ByteBuffer buffer = loop.buffers().reading();
+            ByteBuffer buffer = own == null ? loop.buffers().reading() : own.clear();
             int count;
             try {
                 count = source.read(buffer);
@@ -154,7 +159,10 @@
      */
     public void look() {
         if (connection != null && receiving && !closed && !peerEnded && !finished) {
-            read(connection.getSourceChannel());
+            // Whoever calls may be amid what another link has read.
+            ByteBuffer own = loop.buffers().take();
+            read(connection.getSourceChannel(), own);
+            loop.buffers().giveBack(own);
         }
     }
 
