Descriptors for discovery, hosts and operators are out of clients' reach in every order

Found by reading XNIO's QueuedNioTcpServer2 and by tests: its accept thread takes all that the system has, uncounted (Loop.listen counted at the hand-over only), and calls the listener again without a pause as long as one connection is left that found no room, so that no socket is read and no timer runs. A limit lowered by a reload below what open tunnels hold did that with the first client that came. Hosts' kept connections had no descriptors of their own (Strangers), clients that said at= were never declined (Router.taken), operators were shut out by what tunnels held (Callers.makeRoom), and two processes could each take what the other had left a moment ago.

Loop.Listening bounds what the library may accept (CONNECTION_HIGH_WATER), counts it at once and hands it over in turns. KeptConnections reserves an eighth of the limit for asking hosts, and lets the rest wait in line. DescriptorShare deals the limit out between processes.

--- a/node/src/main/java/embershift/operations/Callers.java
+++ b/node/src/main/java/embershift/operations/Callers.java
@@ -13,7 +13,6 @@
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
-import java.util.function.IntSupplier;
 
 /**
  * Listens for operators: one call to a connection. Who holds a connection without a whole call keeps nobody out: their
@@ -23,32 +22,43 @@
 
     /** Callers without a whole call at one time; the other descriptors are for answers on their way out. */
     private static final int MOST = Router.OPERATORS * 3 / 4;
+    /** Of the descriptors for operators, those for callers that the loop has accepted and not handed over. */
+    private static final int AHEAD = 8;
     /** Seconds from the accept within which the whole call must have come. */
     private static final double PATIENCE = 5;
 
     private final Loop loop;
     private final Desk desk;
     private final Tally tally;
-    private final IntSupplier most;
     /** Those without a whole call, oldest first. */
     private final Set<Caller> waiting = new LinkedHashSet<>();
     private final Stillness stillness;
+    private Loop.Listening listening;
 
-    /** {@code most}: descriptors that the process may hold now. */
-    public Callers(Loop loop, Desk desk, Tally tally, IntSupplier most) {
+    public Callers(Loop loop, Desk desk, Tally tally) {
         this.loop = loop;
         this.desk = desk;
         this.tally = tally;
-        this.most = most;
         stillness = new Stillness(loop.now());
     }
 
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
         beat();
-        return loop.listen(address, this::makeRoom, link -> {
+        listening = loop.listen(address, new Loop.Admission() {
+            @Override
+            public boolean mayAccept() {
+                return makeRoom();
+            }
+
+            @Override
+            public int free() {
+                return listening == null ? 0 : Router.OPERATORS - AHEAD - listening.open();
+            }
+        }, link -> {
             tally.count("operators' connections");
             new Caller(link);
-        }).address();
+        });
+        return listening.address();
     }
 
     private void beat() {
@@ -56,13 +66,16 @@
         loop.after(Stillness.BEAT, this::beat);
     }
 
-    /** Whether one more may come in, once others have made room. */
+    /**
+     * Whether one more may come in, once others have made room. Only their own descriptors count, which no client takes:
+     * where tunnels hold more than there is, as after a lower limit, operators have to be heard all the more.
+     */
     private boolean makeRoom() {
         while (waiting.size() >= MOST) {
             giveWay();
         }
-        while (loop.descriptors() > most.getAsInt() - 2) {
-            if (!loop.closeLingering() && !giveWay()) {
+        while (listening.open() > Router.OPERATORS - AHEAD) {
+            if (!listening.closeLingering() && !giveWay()) {
                 return false;
             }
         }
--- a/node/src/main/java/embershift/program/Neighbours.java
+++ b/node/src/main/java/embershift/program/Neighbours.java
@@ -173,7 +173,7 @@
         return lock == null;
     }
 
-    /** What a process tells the others: the descriptors that it holds, and how many tunnels fill a host. */
+    /** What a process tells the others: the descriptors that it holds or may yet take, and how many tunnels fill a host. */
     record Word(int descriptors, double filling) {
         static final int BYTES = Integer.BYTES + Double.BYTES;
     }
--- a/node/src/main/java/embershift/program/Service.java
+++ b/node/src/main/java/embershift/program/Service.java
@@ -178,7 +178,7 @@
                 configuration.belongsTo(), log::line);
         bans = new Bans(loop, router, neighbours);
         Desk desk = new Desk(router, bans, this::ready);
-        InetSocketAddress address = new Callers(loop, desk, router.tally(), router::mostDescriptors)
+        InetSocketAddress address = new Callers(loop, desk, router.tally())
                 .listen(configuration.management());
         log.line("operators call " + Addresses.written(address));
     }
@@ -196,11 +196,11 @@
     }
 
     private Neighbours.Word word() {
-        return new Neighbours.Word(loop.descriptors(), router.tunnelsThatFill());
+        return new Neighbours.Word(router.claimedDescriptors(), router.tunnelsThatFill());
     }
 
     private void heed(List<Neighbours.Word> others) {
-        router.heldElsewhere(others.stream().mapToInt(Neighbours.Word::descriptors).sum());
+        router.heldElsewhere(others.stream().mapToInt(Neighbours.Word::descriptors).sum(), others.size());
         others.forEach(other -> router.toldOfFilling(other.filling()));
         if (!others.isEmpty()) {
             bans.readAgain();
--- a/node/src/main/java/embershift/routing/Ageing.java
+++ b/node/src/main/java/embershift/routing/Ageing.java
@@ -35,6 +35,15 @@
         return since.containsKey(thing);
     }
 
+    /** When the wait of that one began. */
+    double begun(T thing) {
+        return since.get(thing);
+    }
+
+    int size() {
+        return since.size();
+    }
+
     /** The one that waits the longest, or null. */
     T oldest() {
         return since.isEmpty() ? null : since.keySet().iterator().next();
--- a/node/src/main/java/embershift/routing/Contact.java
+++ b/node/src/main/java/embershift/routing/Contact.java
@@ -59,7 +59,7 @@
             if (link != null && !Double.isNaN(askedAt)) {
                 // Another process is asked instead: that the one before has not answered tells nothing of it.
                 connectAnew();
-            } else {
+            } else if (link != null) {
                 hangUp();
             }
         }
@@ -75,14 +75,41 @@
             router.loop().execute(() -> answer(false, Report.NONE));
             return;
         }
-        patience = router.loop().after(router.probePatience(), () -> answer(false, Report.NONE));
         if (link == null) {
-            connectAnew();
-        } else if (connected) {
+            reach();
+            return;
+        }
+        router.kept().rests(this, false);
+        begin();
+        if (connected) {
             question();
         }
     }
 
+    /** Opens a connection for the question that is out, or waits in line for a place: until then no time of the host's runs. */
+    void reach() {
+        if (router.kept().take(this)) {
+            askedAt = router.now();
+            begin();
+            connectAnew();
+        }
+    }
+
+    private void begin() {
+        patience = router.loop().after(router.probePatience(), () -> answer(false, Report.NONE));
+    }
+
+    /** Gives the connection up, and its place. */
+    private void drop() {
+        if (link != null) {
+            link.close();
+            link = null;
+            router.kept().closed(this);
+            router.serveLine();
+        }
+    }
+
+    /** In the place of the connection that there may be. */
     private void connectAnew() {
         if (link != null) {
             link.close();
@@ -114,9 +141,8 @@
 
     /** Ends the kept connection; a question still out counts as not answered. */
     void hangUp() {
-        if (link != null) {
-            link.close();
-            link = null;
+        if (link != null || router.kept().leaveLine(this)) {
+            drop();
             if (!Double.isNaN(askedAt)) {
                 router.loop().execute(() -> answer(false, Report.NONE));
             }
@@ -135,10 +161,12 @@
             patience.cancel();
             patience = null;
         }
-        if (!answered && link != null) {
+        if (!answered) {
             // A late answer would be taken for that to the next question.
-            link.close();
-            link = null;
+            drop();
+        } else {
+            router.kept().rests(this, link != null);
+            router.serveLine();
         }
         unheard = !answered;
         router.tally().count(answered ? "probes answered" : "probes failed");
@@ -182,8 +210,7 @@
 
     @Override
     public void notConnected() {
-        link = null;
-        answer(false, Report.NONE);
+        lost();
     }
 
     @Override
@@ -238,10 +265,7 @@
     }
 
     private void lost() {
-        if (link != null) {
-            link.close();
-            link = null;
-        }
+        drop();
         answer(false, Report.NONE);
     }
 }
--- a/node/src/main/java/embershift/routing/Passage.java
+++ b/node/src/main/java/embershift/routing/Passage.java
@@ -126,6 +126,12 @@
         client.finish();
     }
 
+    /** Reads what it has sent by now; whether no tunnel has come of that. */
+    boolean stillStranger() {
+        client.look();
+        return state == State.GREETING;
+    }
+
     /** No whole first line has come in time, or others need the room: who only asked needs no word. */
     void greetingOver(String word) {
         if (pings == 0 || greeting.begun()) {
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -55,6 +55,9 @@
     private static final double DOUBLE = 0.2;
     /** Part of the shortest setup goal from which a message counts as slow. */
     private static final double SLOW_MESSAGE = 1 / 3.0;
+    /** Part of the descriptors, and their least number, that are for the connections on which hosts are asked. */
+    private static final int KEPT_PART = 8;
+    private static final int LEAST_KEPT = 8;
 
     private final Loop loop;
     private final Deployment deployment;
@@ -69,6 +72,8 @@
     private final Map<HostId, Contact> contacts = new HashMap<>();
     private final List<Passage> unplaced = new ArrayList<>();
     private final Strangers strangers;
+    private final KeptConnections<Contact> kept;
+    private boolean lineDue;
     private final Ageing<Passage> silences = new Ageing<>(QUIET);
     private final Ageing<Passage> longSilences = new Ageing<>(SILENCE);
     private final Ageing<Passage> endings = new Ageing<>(ENDING);
@@ -89,7 +94,7 @@
     private int descriptors;
     /** Tunnels that wait and have no connection to a host, but will have one: in one wake-up many may be taken in. */
     private int unlinked;
-    private int heldElsewhere;
+    private final DescriptorShare share = new DescriptorShare();
     private int listedHosts;
     private int avoidedHosts;
 
@@ -105,7 +110,8 @@
                 .mapToDouble(Deployment.Profile::setupGoal).min().orElse(1);
         operators = configuration.operated();
         descriptors = configuration.sockets();
-        strangers = new Strangers(loop, tally, () -> unlinked);
+        kept = new KeptConnections<>(this::roomForHost, Contact::hangUp);
+        strangers = new Strangers(loop, tally, () -> unlinked + kept.unused());
         limitStrangers();
         roster = new Roster(this, configuration.discovery());
         peers = new Peers(this, configuration);
@@ -180,7 +186,7 @@
 
     /** Listens for clients; where operators have an address, beside another process that may do so as well. */
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
-        listening = loop.listen(address, operators, strangers::mayAccept, this::accepted);
+        listening = loop.listen(address, operators, strangers, this::accepted);
         return listening.address();
     }
 
@@ -202,21 +208,48 @@
         filling.told(tunnels);
     }
 
-    /** Descriptors that another process at this node's address holds: the limit is for both together. */
-    public void heldElsewhere(int many) {
-        if (many != heldElsewhere) {
-            heldElsewhere = many;
+    /** So many descriptors other processes at this node's address hold or may yet take, and so many they are. */
+    public void heldElsewhere(int many, int processes) {
+        if (share.told(descriptors, loop.descriptors(), many, processes)) {
             limitStrangers();
         }
     }
 
+    /** Descriptors that this process tells others at its address to be its own. */
+    public int claimedDescriptors() {
+        return share.claimed(descriptors, loop.descriptors(), leaving, OPERATORS);
+    }
+
     private void limitStrangers() {
+        kept.reserve(deployment.mayProbe() ? Math.max(LEAST_KEPT, descriptors / KEPT_PART) : 0);
         strangers.limit(mostDescriptors() - (operators ? OPERATORS : 0));
     }
 
     /** Descriptors that this process may hold now. */
     public int mostDescriptors() {
-        return descriptors - heldElsewhere;
+        return share.most(descriptors);
+    }
+
+    KeptConnections<Contact> kept() {
+        return kept;
+    }
+
+    /** Whether one more host may be reached for a question than there are descriptors for that alone. */
+    private boolean roomForHost() {
+        return strangers.makeRoom();
+    }
+
+    /** Has the next in line for a kept connection try again, behind what is under way. */
+    void serveLine() {
+        if (kept.first() != null && !lineDue) {
+            lineDue = true;
+            loop.execute(() -> {
+                lineDue = false;
+                if (kept.first() != null) {
+                    kept.first().reach();
+                }
+            });
+        }
     }
 
     /**
@@ -246,7 +279,7 @@
      * may still come: its front sends it nothing more.
      */
     public boolean empty() {
-        return passages.isEmpty() && !(replaced ? strangers.any() : strangers.anyBegun());
+        return passages.isEmpty() && !(replaced ? strangers.any() || listening.waiting() > 0 : strangers.anyBegun());
     }
 
     /** Whether a list or a ban has named this host. */
@@ -280,6 +313,9 @@
 
     /** Ends what is still here. */
     public void stop() {
+        if (listening != null) {
+            listening.handOverAll();
+        }
         new ArrayList<>(passages.values()).forEach(Passage::stop);
         strangers.turnAway();
     }
@@ -346,6 +382,7 @@
         endings.expire(now, Passage::endingTooLong);
         listedHosts = module.listed(false);
         avoidedHosts = module.listed(true);
+        serveLine();
         loop.after(SWEEP, this::sweep);
     }
 
@@ -420,9 +457,8 @@
         passages.put(passage.id(), passage);
         idsInUse.add(opening.id());
         tally.count("tunnels taken");
-        if (!strangers.makeRoom() && opening.standingAt() == null) {
-            // Guards the descriptors: with none left, nothing could be taken in or answered at all. What
-            // stood before has been promised its place.
+        if (!(opening.standingAt() == null ? strangers.makeRoom() : strangers.makeRoomAsPromised())) {
+            // Guards the descriptors: with none left, nothing could be taken in or answered at all.
             tally.count("tunnels declined for want of descriptors");
             passage.answer("BUSY", Tally.Outcome.DECLINED);
             return;
--- a/node/src/main/java/embershift/transport/Link.java
+++ b/node/src/main/java/embershift/transport/Link.java
@@ -55,6 +55,8 @@
     private static final double SLOW_LINGER = 20.0;
 
     private final Loop loop;
+    /** Where it came in; null for one that this process began. */
+    private final Loop.Listening from;
     private Events events;
     private StreamConnection connection;
     private IoFuture<StreamConnection> connecting;
@@ -69,13 +71,15 @@
 
     Link(Loop loop, Events events) {
         this.loop = loop;
+        from = null;
         this.events = events;
     }
 
     /** An accepted connection; it is not read before its events are set. */
-    Link(Loop loop, StreamConnection connection) {
+    Link(Loop loop, StreamConnection connection, Loop.Listening from) {
         this.loop = loop;
         this.connection = connection;
+        this.from = from;
         hook();
     }
 
@@ -85,6 +89,10 @@
         connection.getSourceChannel().resumeReads();
     }
 
+    Loop.Listening from() {
+        return from;
+    }
+
     void connecting(IoFuture<StreamConnection> future) {
         connecting = future;
     }
--- a/node/src/main/java/embershift/transport/Loop.java
+++ b/node/src/main/java/embershift/transport/Loop.java
@@ -15,12 +15,14 @@
 import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -38,8 +40,12 @@
     /** Descriptors that the loop itself takes for its selectors. */
     private static final int OWN_FILES = 12;
     private static final int BACKLOG = 1024;
-    /** Accepts in a row before other sockets get their turn. */
+    /** Connections handed over in a row before other sockets get their turn, and seconds until the next ones are. */
     private static final int ACCEPTS = 8;
+    private static final double NEXT_TURN = 0.001;
+    /** Connections that may have been accepted and not yet been handed over, at the least and at the most. */
+    private static final int LEAST_AHEAD = 4;
+    private static final int MOST_AHEAD = 256;
     /** Seconds until accepts go on that were stopped for want of room. */
     private static final double ACCEPT_AGAIN = 0.02;
     /** Seconds from which a timer counts as late, and for which it then lets the sockets go first. */
@@ -58,6 +64,7 @@
     private int sockets;
     /** Links that were finished and whose peers have not ended yet, the longest finished first. */
     private final Set<Link> lingering = new LinkedHashSet<>();
+    private final List<Listening> listenings = new CopyOnWriteArrayList<>();
 
     public Loop() throws IOException {
         QUIET.forEach(logger -> logger.setLevel(Level.WARNING));
@@ -159,11 +166,18 @@
 
     void opened() {
         sockets++;
+        for (Listening listening : listenings) {
+            listening.allow();
+        }
     }
 
     void closed(Link link) {
         sockets--;
         lingering.remove(link);
+        if (link.from() != null) {
+            link.from().open--;
+            link.from().allow();
+        }
     }
 
     void lingers(Link link) {
@@ -179,50 +193,49 @@
         return true;
     }
 
+    /** Links that were finished and whose peers have not ended yet. */
+    public int lingering() {
+        return lingering.size();
+    }
+
+    /** Whether connections may come in, and for how many there are descriptors. */
+    public interface Admission {
+
+        /** Asked before each that is handed over; whoever says no is asked again a moment later. */
+        boolean mayAccept();
+
+        /** Descriptors left for those that come in; zero and less where each has to have room made for it. */
+        default int free() {
+            return Integer.MAX_VALUE;
+        }
+    }
+
     /** As below, at an address of this process alone. */
-    public Listening listen(InetSocketAddress address, BooleanSupplier room, Consumer<Link> accepted)
+    public Listening listen(InetSocketAddress address, Admission admission, Consumer<Link> accepted)
             throws IOException {
-        return listen(address, false, room, accepted);
+        return listen(address, false, admission, accepted);
     }
 
     /**
-     * Hands each connection that comes in to {@code accepted}; returns where it listens. Without
-     * {@code room} connections wait at the system: an accept that fails for want of descriptors would have
+     * Hands each connection that comes in to {@code accepted}; returns where it listens. Those for which there is no room
+     * wait, few of them here and the others at the system: an accept that fails for want of descriptors would have
      * the library look away for up to half a minute. {@code shared}: other processes may listen there as well.
      */
-    public Listening listen(InetSocketAddress address, boolean shared, BooleanSupplier room,
+    public Listening listen(InetSocketAddress address, boolean shared, Admission admission,
                             Consumer<Link> accepted) throws IOException {
-        ChannelListener<AcceptingChannel<StreamConnection>> listener = server -> {
-            try {
-                // Between a few accepts all sockets get their turn: what has just come in is read before
-                // more comes, and a flood of connections does not keep the others waiting.
-                for (int i = 0; i < ACCEPTS; i++) {
-                    if (!room.getAsBoolean()) {
-                        server.suspendAccepts();
-                        after(ACCEPT_AGAIN, server::resumeAccepts);
-                        return;
-                    }
-                    StreamConnection next = server.accept();
-                    if (next == null) {
-                        return;
-                    }
-                    opened();
-                    accepted.accept(new Link(this, next));
-                }
-            } catch (IOException e) {
-                // The listener itself is gone, as at the end of the program: nothing comes any more.
-            }
-        };
-        AcceptingChannel<StreamConnection> server;
+        Listening listening = new Listening(admission, accepted);
         try {
-            server = SharingProvider.opening(shared, () -> worker.createStreamConnectionServer(address, listener,
-                    OptionMap.builder().addAll(STREAM).set(Options.BACKLOG, BACKLOG)
-                            .set(Options.REUSE_ADDRESSES, true).getMap()));
+            listening.server = SharingProvider.opening(shared, () -> worker.createStreamConnectionServer(address,
+                    listening::arrived, OptionMap.builder().addAll(STREAM).set(Options.BACKLOG, BACKLOG)
+                            .set(Options.REUSE_ADDRESSES, true)
+                            .set(Options.CONNECTION_HIGH_WATER, listening.high)
+                            .set(Options.CONNECTION_LOW_WATER, listening.high - 1).getMap()));
         } catch (IOException e) {
             throw named(address, e);
         }
-        server.resumeAccepts();
-        return new Listening(server.getLocalAddress(InetSocketAddress.class), server);
+        listening.server.resumeAccepts();
+        listenings.add(listening);
+        return listening;
     }
 
     /** Starts to connect; the link tells its events how that went, never before this call returns. */
@@ -265,14 +278,126 @@
 
     /** Ends the thread; sockets still open are closed. */
     public void stop() {
+        // First of all: what the library accepted from now on it could hand to nobody.
+        listenings.forEach(Listening::close);
         worker.shutdownNow();
     }
 
-    /** Where connections come in, until it is closed; then they are refused. */
-    public record Listening(InetSocketAddress address, AcceptingChannel<StreamConnection> server) {
+    /**
+     * Where connections come in, until it is closed; then they are refused.
+     *
+     * <p>The library accepts on a thread of its own, and all at once that the system has: whatever it held would be
+     * descriptors that nobody counts, up to the whole queue of the system, and it would let no other socket have a turn
+     * until the last of them was handed over. So it is told how many connections may be open in all, only a few beyond
+     * those that were handed over, and what it has is taken from it, and counted, at once.
+     */
+    public final class Listening {
+        private final Admission admission;
+        private final Consumer<Link> accepted;
+        private AcceptingChannel<StreamConnection> server;
+        private final Deque<Link> waiting = new ArrayDeque<>();
+        /** Connections that came in here and are open, the waiting ones as well; and how many the library lets be. */
+        private int open;
+        private int high;
+        /** Whether the next ones are handed over by a timer. */
+        private boolean due;
+
+        private Listening(Admission admission, Consumer<Link> accepted) {
+            this.admission = admission;
+            this.accepted = accepted;
+            high = ahead();
+        }
+
+        private int ahead() {
+            int room = Math.min(admission.free(), 2 * MOST_AHEAD) + waiting.size();
+            return Math.max(LEAST_AHEAD, Math.min(room / 2, MOST_AHEAD));
+        }
+
+        /** Has the library take in no more than there is room for, and no fewer; told only where that has changed by half. */
+        private void allow() {
+            int handed = open - waiting.size();
+            int now = high - handed;
+            int ahead = ahead();
+            if ((now > 2 * ahead || now < (ahead + 1) / 2) && server.isOpen()) {
+                high = handed + ahead;
+                try {
+                    server.setOption(Options.CONNECTION_HIGH_WATER, high);
+                    server.setOption(Options.CONNECTION_LOW_WATER, high - 1);
+                } catch (IOException e) {
+                    // It is being closed: nothing comes any more.
+                }
+            }
+        }
+
+        private void arrived(AcceptingChannel<StreamConnection> from) {
+            try {
+                for (StreamConnection next = from.accept(); next != null; next = from.accept()) {
+                    open++;
+                    Link link = new Link(Loop.this, next, this);
+                    waiting.add(link);
+                    opened();
+                }
+            } catch (IOException e) {
+                // The listener itself is gone, as at the end of the program: nothing comes any more.
+            }
+            if (!due) {
+                handOver();
+            }
+        }
+
+        /**
+         * Between a few all sockets get their turn: what has just come in is read before more comes, and a flood of
+         * connections does not keep the others waiting.
+         */
+        private void handOver() {
+            due = false;
+            for (int i = 0; !waiting.isEmpty(); i++) {
+                boolean may = i < ACCEPTS && admission.mayAccept();
+                if (!may) {
+                    due = true;
+                    after(i == ACCEPTS ? NEXT_TURN : ACCEPT_AGAIN, this::handOver);
+                    break;
+                }
+                accepted.accept(waiting.remove());
+            }
+            allow();
+        }
+
+        /** Hands over all that have come in, without asking for room. */
+        public void handOverAll() {
+            while (!waiting.isEmpty()) {
+                accepted.accept(waiting.remove());
+            }
+        }
+
+        public InetSocketAddress address() {
+            return server.getLocalAddress(InetSocketAddress.class);
+        }
+
+        /** Connections that came in here and are open, also those that were finished and linger. */
+        public int open() {
+            return open;
+        }
+
+        /** Connections that came in and have not been handed over. */
+        public int waiting() {
+            return waiting.size();
+        }
+
+        /** Closes the link that came in here and was finished the longest ago, if any lingers. */
+        public boolean closeLingering() {
+            for (Link link : lingering) {
+                if (link.from() == this) {
+                    link.close();
+                    return true;
+                }
+            }
+            return false;
+        }
 
         public void close() {
             IoUtils.safeClose(server);
+            listenings.remove(this);
         }
     }
 
--- a/node/src/test/java/embershift/Loopback.java
+++ b/node/src/test/java/embershift/Loopback.java
@@ -92,7 +92,11 @@
     }
 
     protected void reconfigure() throws Exception {
-        NodeConfiguration next = configuration("1024");
+        reconfigure("1024");
+    }
+
+    protected void reconfigure(String sockets) throws Exception {
+        NodeConfiguration next = configuration(sockets);
         on(() -> {
             router.reconfigure(next);
             return null;
--- a/node/src/test/java/embershift/operations/OperatorsTest.java
+++ b/node/src/test/java/embershift/operations/OperatorsTest.java
@@ -31,13 +31,13 @@
         ready = true;
     }
 
-    private void start(int sockets, ServerSocket... hosts) throws Exception {
+    private NodeConfiguration configuration(int sockets, ServerSocket... hosts) throws Exception {
         List<String> known = new ArrayList<>();
         for (ServerSocket host : hosts) {
             known.add("{\"instanceId\":\"s%d\",\"hostPort\":\"127.0.0.1:%d\",\"zone\":\"a\",".formatted(known.size(),
                     host.getLocalPort()) + "\"lifecycle\":\"in_service\",\"weight\":1,\"startedAtMs\":0}");
         }
-        NodeConfiguration configuration = NodeConfiguration.read("""
+        return NodeConfiguration.read("""
             {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":%d},
              "known":{"generation":1,"reset":true,"instances":[%s]},
              "settings":{"balancers":1,"az":"a","discovery":"subscribe",
@@ -48,10 +48,13 @@
               "rules":{"must-ask-in-s":2,"drain-grace-s":1,"cold-from":0.3,"warm-after-s":8,
                        "fall-multiple":4,"fall-s":1.5}}}""".formatted(sockets, String.join(",", known)),
                 "127.0.0.1:0");
+    }
+
+    private void start(int sockets, ServerSocket... hosts) throws Exception {
+        NodeConfiguration configuration = configuration(sockets, hosts);
         on(() -> {
             router = new Router(loop, configuration, line -> { });
-            operators = new Callers(loop, new Desk(router, new Bans(loop, router, null), () -> ready), router.tally(),
-                    router::mostDescriptors)
+            operators = new Callers(loop, new Desk(router, new Bans(loop, router, null), () -> ready), router.tally())
                     .listen(configuration.management());
             clients = router.listen(configuration.listen());
             return null;
@@ -167,6 +170,36 @@
         tunnel(host, "a");
     }
 
+    @Test
+    public void operatorsAreAnsweredWhereALowerLimitLeavesTunnelsMoreThanThereIs() throws Exception {
+        ServerSocket host = listening();
+        int held = on(loop::descriptors);
+        start(held + 200, host);
+        List<Socket[]> tunnels = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            Socket[] ends = tunnel(host, "t" + i);
+            say(ends[1], "UP r\r\n");
+            assertEquals(hear(ends[0]), "UP r");
+            tunnels.add(ends);
+        }
+        NodeConfiguration lower = configuration(held + 20, host);
+        on(() -> {
+            router.reconfigure(lower);
+            return null;
+        });
+        for (int i = 0; i < 2 * Router.OPERATORS; i++) {
+            assertEquals(call("GET", "/api/ready").status(), 200);
+        }
+        for (int i = 0; i < 100; i++) {
+            talk(operators, i % 2 == 0 ? "" : "GET /api/re");
+        }
+        assertEquals(call("GET", "/api/ready").status(), 200);
+        for (Socket[] ends : tunnels) {
+            say(ends[0], "still here\r\n");
+            assertEquals(hear(ends[1]), "still here");
+        }
+    }
+
     @Test
     public void operatorsAreAnsweredWhereClientsHaveTakenAllDescriptors() throws Exception {
         start(on(loop::descriptors) + Router.OPERATORS + 60);
