--- a/hosted/src/main/java/embershift/hosted/Discovery.java
+++ b/hosted/src/main/java/embershift/hosted/Discovery.java
@@ -120,8 +120,10 @@
         long told = page.path("generation").asLong();
         boolean whole = page.path("reset").asBoolean() || generation < 0;
         boolean anew = told < generation;
-        if (anew && answeredHere) {
-            // An earlier answer that came once more, whole perhaps: what it lists as ready may have been told to drain since.
+        boolean sameAgain = told == generation && !page.path("instances").isEmpty() && schedule.early(loop.now());
+        if (answeredHere && (anew || sameAgain)) {
+            // An earlier answer that came once more, whole perhaps: what it lists as ready may have been told to drain since,
+            // and the call that is out still waits there.
             hangUp();
             call();
             return;
--- a/node/src/main/java/embershift/protocol/WatchSchedule.java
+++ b/node/src/main/java/embershift/protocol/WatchSchedule.java
@@ -73,7 +73,12 @@
         calling = false;
         failures = 0;
         // Guards against a discovery that does not wait: calls would come as fast as it answers.
-        due = changed || now >= calledAt + mayWait / 2 ? now : now + PAUSE;
+        due = changed || !early(now) ? now : now + PAUSE;
+    }
+
+    /** Whether an answer that comes now has come long before a call without news would end. */
+    public boolean early(double now) {
+        return now < calledAt + mayWait / 2;
     }
 
     /** Nothing is to be called for the time being. */
--- a/node/src/main/java/embershift/routing/Roster.java
+++ b/node/src/main/java/embershift/routing/Roster.java
@@ -187,8 +187,10 @@
             failed();
             return;
         }
-        if (usedBefore && page.generation() < generation) {
-            // On one connection versions only grow: this is an earlier answer that came once more.
+        boolean sameAgain = page.generation() == generation && !page.listings().isEmpty() && schedule.early(router.now());
+        if (usedBefore && (page.generation() < generation || !wholeAsked && sameAgain)) {
+            // On one connection versions only grow: this is an earlier answer that came once more, and the call that is
+            // out still waits there.
             outOfStep();
             return;
         }
--- a/node/src/main/java/embershift/transport/Link.java
+++ b/node/src/main/java/embershift/transport/Link.java
@@ -55,6 +55,8 @@
     private static final double SLOW_LINGER = 20.0;
 
     private final Loop loop;
+    /** Where it came in; null for one that this process began. */
+    private final Loop.Listening from;
     private Events events;
     private StreamConnection connection;
     private IoFuture<StreamConnection> connecting;
@@ -69,13 +71,15 @@
 
     Link(Loop loop, Events events) {
         this.loop = loop;
+        from = null;
         this.events = events;
     }
 
     /** An accepted connection; it is not read before its events are set. */
-    Link(Loop loop, StreamConnection connection) {
+    Link(Loop loop, StreamConnection connection, Loop.Listening from) {
         this.loop = loop;
         this.connection = connection;
+        this.from = from;
         hook();
     }
 
@@ -85,6 +89,10 @@
         connection.getSourceChannel().resumeReads();
     }
 
+    Loop.Listening from() {
+        return from;
+    }
+
     void connecting(IoFuture<StreamConnection> future) {
         connecting = future;
     }
@@ -116,8 +124,13 @@
     }
 
     private void read(ConduitStreamSourceChannel source) {
+        read(source, null);
+    }
+
+    /** Reads into {@code own}, or into the buffer of all links where that is null. */
+    private void read(ConduitStreamSourceChannel source, ByteBuffer own) {
         for (int i = 0; i < READS && receiving && !closed && !peerEnded; i++) {
-            ByteBuffer buffer = loop.buffers().reading();
+            ByteBuffer buffer = own == null ? loop.buffers().reading() : own.clear();
             int count;
             try {
                 count = source.read(buffer);
@@ -154,7 +167,10 @@
      */
     public void look() {
         if (connection != null && receiving && !closed && !peerEnded && !finished) {
-            read(connection.getSourceChannel());
+            // Whoever calls may be amid what another link has read.
+            ByteBuffer own = loop.buffers().take();
+            read(connection.getSourceChannel(), own);
+            loop.buffers().giveBack(own);
         }
     }
 
--- a/node/src/test/java/embershift/routing/DiscoveryReturnTest.java
+++ b/node/src/test/java/embershift/routing/DiscoveryReturnTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.fail;
 
 import embershift.Loopback;
+import embershift.model.DeclineReason;
 import embershift.model.Decisions;
 import embershift.model.Deployment;
 import embershift.model.HostId;
@@ -83,7 +84,7 @@
         private Policy watching(long seed, double mustAsk) {
             Deployment.Profile profile = new Deployment.Profile(new ProfileId("p"), Deployment.Repeat.REPEATABLE,
                     Deployment.DedupScope.ALL, 0, 0.5, 3, 0.1, 1);
-            Deployment deployment = new Deployment(seed, 100, new ZoneId("a"), List.of(profile), true, mustAsk, true, true,
+            Deployment deployment = new Deployment(seed, 100, 0, new ZoneId("a"), List.of(profile), true, mustAsk, true, true,
                     true, true, false, 4, true, 1.5, 0.25, 0.016, 0.5, 0.3, 8, 3, 2, Deployment.Budget.NONE, false, 0);
             Policy policy = new Policy(deployment, new Filling(deployment));
             policy.round(-100, news -> news.rosterListed(List.of(), true), this);
@@ -152,7 +153,7 @@
         }
 
         @Override
-        public void decline(TunnelId id, double returnAfter) {
+        public void decline(TunnelId id, double returnAfter, DeclineReason reason) {
         }
 
         @Override
--- /dev/null
+++ b/node/src/test/java/embershift/transport/LastWordsTest.java
@@ -0,0 +1,87 @@
+package embershift.transport;
+
+import static org.testng.Assert.assertEquals;
+
+import embershift.Loopback;
+import org.testng.annotations.Test;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** What a peer said before its connection broke. */
+public class LastWordsTest extends Loopback {
+
+    private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+    private Link host;
+
+    private static byte[] text(ByteBuffer bytes) {
+        byte[] all = new byte[bytes.remaining()];
+        bytes.get(all);
+        return all;
+    }
+
+    /**
+     * A host says its last words and resets, as a close over unread bytes does, in the moment in which a line for it is read from
+     * the other side: writing that finds the reset before the words are read.
+     */
+    @Test
+    public void lastWordsAreHeardThoughAWriteFoundTheResetThatFollowsThem() throws Exception {
+        CompletableFuture<Link> taken = new CompletableFuture<>();
+        Loop.Listening listening = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> true,
+                taken::complete);
+        Socket peer = talk(listening.address(), "");
+        host = taken.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        on(() -> {
+            host.events(new Link.Events() {
+                @Override
+                public void received(ByteBuffer bytes) {
+                    seen.add(new String(text(bytes)));
+                }
+
+                @Override
+                public void ended() {
+                    seen.add("ended");
+                }
+
+                @Override
+                public void broken() {
+                    seen.add("broken");
+                }
+            });
+            return null;
+        });
+        Loop.Listening other = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> true, link ->
+                link.events(new Link.Events() {
+                    @Override
+                    public void received(ByteBuffer bytes) {
+                        try {
+                            say(peer, "BYE\r\n");
+                            reset(peer);
+                        } catch (IOException e) {
+                            seen.add(e.toString());
+                        }
+                        host.write(bytes);
+                    }
+
+                    @Override
+                    public void ended() {
+                        // The test is over.
+                    }
+
+                    @Override
+                    public void broken() {
+                        // The test is over.
+                    }
+                }));
+        talk(other.address(), "line\r\n");
+        assertEquals(seen.poll(PATIENCE_MS, TimeUnit.MILLISECONDS), "BYE\r\n");
+        assertEquals(seen.poll(PATIENCE_MS, TimeUnit.MILLISECONDS), "broken");
+    }
+}
