Cold hosts: the slow turn of the circle is no longer taken off N, which few nodes and small N felt

Cause: a quarter of a node taken off N is a quarter of N where N is 1. The turn passes on no more than chance may add.

--- a/core/src/main/java/embershift/policy/SlowStart.java
+++ b/core/src/main/java/embershift/policy/SlowStart.java
@@ -81,7 +81,7 @@
                 deployment.fallMultiple() * part * warmHostCanTake * span * deployment.nodes());
         // Nodes hear of a start together: over the first span they open one after the other.
         double turnover = TURNOVER * (1 - 1.0 / deployment.nodes());
-        double own = (shared(bears) - turnover) / deployment.nodes() * share((now - openFrom) / span);
+        double own = shared(bears) / deployment.nodes() * share((now - openFrom) / span);
         double turns = Math.min(now - startedAt, deployment.warmAfter()) / span;
         double mark = place + turns * turnover / deployment.nodes();
         return (int) (own + 1 - (mark - Math.floor(mark)));
