A guard of how costs grow, as ratios in one run, and hollow nodes that tell who is shut out

Nothing failed where a cost turned from n to n squared. ScaleTest holds each part of rig scale at n against 4n in one run: what is counted is the same each time, of processor time of the thread the least of three counts; in proportion is 4, allowed is 8, squared would be 16. Today's squares are held as such: the first list of hosts, datagrams of all nodes when a host sinks.

Hollow nodes: a number that can't be measured loses those before it no more; who is shut out is counted and told.

--- a/rig/src/main/java/embershift/rig/scale/HollowNodes.java
+++ b/rig/src/main/java/embershift/rig/scale/HollowNodes.java
@@ -16,8 +16,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.LongConsumer;
@@ -32,11 +35,14 @@
 
     static final int TOGETHER = 100;
     private static final Pattern GOES_BY = Pattern.compile("goes by revision (\\d+)");
+    private static final String SHUT_OUT = "shut out: ";
     private static final double NANOS = 1e9;
     private static final long PATIENCE_S = 30;
 
     private final List<Loop> loops = new ArrayList<>();
     private final LongConsumer acted;
+    /** Who was shut out, and why. */
+    private final Map<String, String> shutOut = new ConcurrentHashMap<>();
 
     /** {@code acted} hears the revision whenever one of them goes by one from now on, on the loops. */
     HollowNodes(Path folder, int many, List<InetSocketAddress> instances, int discoveryPort, LongConsumer acted) throws IOException {
@@ -110,12 +116,14 @@
                 Matcher matcher = GOES_BY.matcher(line);
                 if (matcher.matches()) {
                     acted.accept(Long.parseLong(matcher.group(1)));
+                } else if (line.startsWith(SHUT_OUT)) {
+                    shutOut.put(name, line.substring(SHUT_OUT.length()));
                 }
             }
 
             @Override
             public void end(int status) {
-                throw new IllegalStateException(name + " ends with " + status);
+                // A process would end here. This one goes on without being heard, as others share it.
             }
         });
     }
@@ -130,15 +138,16 @@
                 sum += told.get(PATIENCE_S, TimeUnit.SECONDS) / NANOS;
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
-            } catch (java.util.concurrent.ExecutionException | TimeoutException e) {
+            } catch (ExecutionException | TimeoutException e) {
                 throw new IOException("a loop of hollow nodes does not answer within " + PATIENCE_S + " s", e);
             }
         }
         return sum;
     }
 
-    int loops() {
-        return loops.size();
+    /** Those that were told that they may not act for the fleet any more, with the reason. */
+    Map<String, String> shutOut() {
+        return shutOut;
     }
 
     @Override
--- /dev/null
+++ b/rig/src/test/java/embershift/rig/ScaleTest.java
@@ -0,0 +1,83 @@
+package embershift.rig;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import embershift.door.Toml;
+import embershift.rig.scale.ScalingGuard;
+import embershift.rig.scale.Scale;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import java.io.IOException;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** How costs grow, as ratios within one run; and that what would make one grow faster is seen. docs/CAPACITY.md. */
+public class ScaleTest {
+
+    @DataProvider
+    public static Object[] parts() {
+        return ScalingGuard.parts().toArray();
+    }
+
+    @Test(dataProvider = "parts")
+    public void costsGrowNoFasterThanTheyDid(String part) {
+        assertNull(ScalingGuard.firstTooSteep(part));
+    }
+
+    /** Part, source, text in it, and what makes it grow by one power more. */
+    @DataProvider
+    public static Object[][] mistakes() {
+        return new Object[][] {
+            {"module", "core/src/main/java/embershift/policy/Policy.java", "loads += host.load;",
+                "loads += host.load + 0 * roll.stream().mapToDouble(this::count).sum();"},
+            {"rollout", "fleet/src/main/java/embershift/fleet/Rollout.java",
+                "Node node = each.getValue();\n            State state = state(name);",
+                "Node node = each.getValue();\n            State state = nodes.keySet().stream().filter(other -> state(other) == null).count() > 0 ? null "
+                    + ": state(name);"},
+            {"lists", "node/src/main/java/embershift/protocol/RosterPage.java", "listings.add(listing);",
+                "listings.add(listing);\n                listings.toString();"},
+            {"record", "fleet/src/main/java/embershift/fleet/Record.java", "long then = size;",
+                "long then = items.values().stream().mapToLong(item -> cost(item.key(), item.value())).sum();"}
+        };
+    }
+
+    @Test(dataProvider = "mistakes")
+    public void whatMakesACostGrowFasterIsSeen(String part, String source, String from, String to) throws IOException,
+            ReflectiveOperationException {
+        try (Mutation mutation = new Mutation(Path.of("..").resolve(source), from, to); URLClassLoader loader = mutation.loader()) {
+            Object seen = loader.loadClass("embershift.rig.scale.ScalingGuard").getMethod("firstTooSteep", String.class).invoke(null, part);
+            assertNotNull(seen);
+        }
+    }
+
+    private static String refusal(String text) throws IOException {
+        Path file = Files.createTempFile("scale", ".toml");
+        try {
+            Files.writeString(file, text);
+            return expectThrows(Toml.Unusable.class, () -> Scale.run(file, false, null)).getMessage().replace(file.toString(), "FILE");
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private static final String SIZE = "name = \"a\"\n[size]\nnodes = 2100\nhosts = 2000\nconnections = 41400\nlifetime-s = 600\n"
+            + "groups = 1000000\nlisteners = 360000\n";
+
+    @Test
+    public void aFileIsRefusedWholeInOneLine() throws IOException {
+        assertTrue(refusal(SIZE).startsWith("FILE: nothing is to be measured"));
+        for (String wrong : new String[] {SIZE + "[modul]\nhosts = [100]", SIZE + "[module]\nhosts = [0]", SIZE + "[module]\nhosts = []",
+            SIZE + "[rollout]\nnodes = [10, 10]", SIZE + "[hollow]\nnodes = [10]\ninstances = 9", "name = \"a\"", "name = ",
+            SIZE + "[hollow]\nnodes = [281]\nreal = true"}) {
+            String why = refusal(wrong);
+            assertTrue(why.startsWith("FILE:"), why);
+            assertEquals(why.lines().count(), 1, why);
+        }
+    }
+}
