--- a/rig/src/main/java/embershift/rig/scale/FleetCosts.java
+++ b/rig/src/main/java/embershift/rig/scale/FleetCosts.java
@@ -59,7 +59,7 @@
                 for (String instance : site.instances.names()) {
                     proxies.add(new CountingProxy(ways, () -> site.instances.listen(instance)));
                 }
-                hollow = new HollowNodes(folder, nodes, proxies.stream().map(CountingProxy::address).toList(), site.hosts.discoveryPort(),
+                hollow = new HollowNodes(folder, nodes, file.startEvery(), proxies.stream().map(CountingProxy::address).toList(), site.hosts.discoveryPort(),
                         this::acted);
             }
         }
@@ -107,7 +107,7 @@
                 who + ": pieces between a node and instances", "a second", who + ": processor of a node", "% of a core",
                 who + ": processor of all instances", "% of a core", who + ": memory of the largest instance", "MB",
                 who + ": calls to discovery", "a second", who + ": changes that were not acted on by all within " + (int) LONGEST + " s",
-                "changes", who + ": shut out as they started together", "nodes");
+                "changes", who + ": shut out though alone of their names", "nodes");
         int measured = 0;
         try {
             for (int nodes : file.hollow().nodes().stream().sorted().toList()) {
@@ -135,12 +135,14 @@
                 long current = site.current();
                 if (current > told[0]) {
                     told[0] = current;
-                    progress.accept(String.format(Locale.ROOT, "%.1f s: %d of %d current", (System.nanoTime() - began) / NANOS, current, nodes));
+                    progress.accept(String.format(Locale.ROOT, "%.1f s: %d of %d current", (System.nanoTime() - began) / NANOS, current,
+                            nodes));
                 }
                 return current >= nodes - site.shutOut();
             });
             if (site.shutOut() > 0) {
-                progress.accept(site.shutOut() + " were shut out: " + site.hollow.shutOut().values().stream().distinct().limit(2).toList());
+                progress.accept(site.shutOut() + " were shut out: "
+                        + site.hollow.shutOut().values().stream().distinct().limit(2).toList());
             }
             double started = (System.nanoTime() - began) / NANOS;
             progress.accept(String.format(Locale.ROOT, "%d nodes current after %.1f s", nodes, started));
--- a/rig/src/main/java/embershift/rig/scale/HollowNodes.java
+++ b/rig/src/main/java/embershift/rig/scale/HollowNodes.java
@@ -44,8 +44,9 @@
     /** Who was shut out, and why. */
     private final Map<String, String> shutOut = new ConcurrentHashMap<>();
 
-    /** {@code acted} hears the revision whenever one of them goes by one from now on, on the loops. */
-    HollowNodes(Path folder, int many, List<InetSocketAddress> instances, int discoveryPort, LongConsumer acted) throws IOException {
+    /** One begins each {@code startEvery} seconds. {@code acted} hears the revision whenever one of them goes by one from now on, on the loops. */
+    HollowNodes(Path folder, int many, double startEvery, List<InetSocketAddress> instances, int discoveryPort, LongConsumer acted)
+            throws IOException {
         this.acted = acted;
         String at = String.join(", ", instances.stream().map(address -> "\"127.0.0.1:" + address.getPort() + "\"").toList());
         Path doorFile = Files.writeString(folder.resolve("hollow.door.toml"), "instances = [" + at + "]\n");
@@ -58,7 +59,7 @@
             String name = String.format("hollow%05d", i);
             CompletableFuture<Void> each = new CompletableFuture<>();
             begun.add(each);
-            loop.execute(() -> {
+            loop.after(startEvery * i, () -> {
                 try {
                     begin(loop, name, discoveryPort, new Door(DoorFile.read(doorFile)));
                     each.complete(null);
--- a/rig/src/main/java/embershift/rig/scale/Scale.java
+++ b/rig/src/main/java/embershift/rig/scale/Scale.java
@@ -48,6 +48,9 @@
                 why = e.getMessage();
             }
             peak = limits.peak();
+        } catch (ResourceLimits.Exceeded e) {
+            // Before anything was measured.
+            return new End(false, e.getMessage());
         }
         ObjectNode result = result(file, path, curves, load, peak, why);
         if (json) {
--- a/rig/src/main/java/embershift/rig/scale/ScaleFile.java
+++ b/rig/src/main/java/embershift/rig/scale/ScaleFile.java
@@ -54,9 +54,10 @@
 
     /**
      * {@code real}: nodes that are processes of their own, in place of hollow ones; {@code kill}: the leading instance ends in the middle
-     * of the changes, and comes back.
+     * of the changes, and comes back; {@code startEvery}: seconds between the starts of two hollow nodes, 0 for all together.
      */
-    public record Hollow(List<Integer> nodes, Integer hosts, Integer instances, Integer changes, Boolean real, Boolean kill) {
+    public record Hollow(List<Integer> nodes, Integer hosts, Integer instances, Integer changes, Boolean real, Boolean kill,
+                         @JsonProperty("start-every-s") Double startEvery) {
 
         private static final int HOSTS = 20;
         private static final int INSTANCES = 3;
@@ -68,6 +69,7 @@
             changes = changes == null ? CHANGES : changes;
             real = real != null && real;
             kill = kill != null && kill;
+            startEvery = startEvery == null ? 0 : startEvery;
         }
     }
 
