--- a/rig/src/main/java/embershift/rig/scale/Scale.java
+++ b/rig/src/main/java/embershift/rig/scale/Scale.java
@@ -48,6 +48,9 @@
                 why = e.getMessage();
             }
             peak = limits.peak();
+        } catch (ResourceLimits.Exceeded e) {
+            // Before anything was measured.
+            return new End(false, e.getMessage());
         }
         ObjectNode result = result(file, path, curves, load, peak, why);
         if (json) {
@@ -84,7 +87,7 @@
             curves.addAll(GroupCosts.measure(file, limits, progress));
         }
         if (file.hollow() != null) {
-            curves.addAll(FleetCosts.measure(file, limits, progress));
+            FleetCosts.measure(file, limits, progress, curves);
         }
     }
 
