A node says where SIGHUP can't reach it, and the acceptance does not play such nodes

Change: a node whose SIGHUP is ignored logs so at its start. deploy/acceptance.sh ends with status 2 there.

Result: ServeTest and AcceptanceTest force both.

--- a/deploy/acceptance.sh
+++ b/deploy/acceptance.sh
@@ -40,6 +40,9 @@
 fi
 [ -n "$why" ] && [ ${#why} -lt 100 ] || wrong "the sentence for the journal has ${#why} characters: 1 to 99 are taken"
 [ -x "$bench" ] || wrong "no bench at $bench: the operators' kit is not here"
+# A process can't undo that: nodes would never hear of a new configuration, and break drains that they were not told of.
+ignored=$(sed -n 's/^SigIgn:[[:space:]]*//p' /proc/self/status 2>/dev/null)
+[ $((0x0${ignored: -1} & 1)) -eq 0 ] || wrong "SIGHUP is ignored here, as under nohup: nodes would not hear of a new configuration"
 [ -f "$site" ] || wrong "no site file at $site"
 pinned=()
 if [ -n "${EMBERSHIFT_BENCH_CPUS:-}" ]; then
--- a/emulator/src/test/java/embershift/AcceptanceTest.java
+++ b/emulator/src/test/java/embershift/AcceptanceTest.java
@@ -76,4 +76,14 @@
         Tree.Ended ended = tree.run(Map.of("EMBERSHIFT_KIT", "kit", "EMBERSHIFT_BENCH_CPUS", "0-1"), SCRIPT, OURS, "quick", "-");
         assertEquals(ended, new Tree.Ended(2, "acceptance: EMBERSHIFT_BENCH_CPUS is '0-1': wanted as 0,1,2,3\n"));
     }
+
+    /** As under nohup: no node would hear of a new configuration, and each day with one would look like a broken rule. */
+    @Test
+    public void nothingIsPlayedWhereNodesWouldNotHearTheSignalToReload() throws Exception {
+        tree.write("ignoring.sh", "trap '' HUP\nexec bash " + SCRIPT + " \"$@\"\n");
+        Tree.Ended ended = tree.run(KIT, "ignoring.sh", OURS, "brink", "3");
+        assertEquals(ended, new Tree.Ended(2,
+                "acceptance: SIGHUP is ignored here, as under nohup: nodes would not hear of a new configuration\n"));
+        assertFalse(Files.exists(tree.root.resolve("calls")));
+    }
 }
--- a/node/src/main/java/embershift/program/Service.java
+++ b/node/src/main/java/embershift/program/Service.java
@@ -10,6 +10,7 @@
 import embershift.routing.Router;
 import embershift.transport.Loop;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -80,7 +81,10 @@
         CompletableFuture<InetSocketAddress> serving = new CompletableFuture<>();
         loop.execute(() -> serve(serving));
         // Before the node can be seen to be ready: unhandled, both signals would end the program.
-        Signal.handle(new Signal("HUP"), signal -> reload());
+        if (Signal.handle(new Signal("HUP"), signal -> reload()) == SignalHandler.SIG_IGN) {
+            // As under nohup: what was ignored before the program began can't be had, and nobody would see why.
+            log.line("SIGHUP is ignored by whoever started this process: a new configuration needs a restart");
+        }
         Signal.handle(new Signal("USR1"), signal -> loop.execute(this::printTally));
         // Behind the start on the loop, so that one who leaves finds it over; before its end, as clients may be here by then.
         Runtime.getRuntime().addShutdownHook(new Thread(this::leaveAndWait, "leave"));
--- a/node/src/test/java/embershift/program/ServeTest.java
+++ b/node/src/test/java/embershift/program/ServeTest.java
@@ -124,6 +124,28 @@
         }
     }
 
+    /** Whoever starts a program under nohup has it deaf to this signal, and would look for the fault in the file. */
+    @Test
+    public void nodeThatCantHearTheSignalToReloadSaysSo() throws Exception {
+        Path file = Files.createTempFile("embershift", ".json");
+        Process node = null;
+        try (ServerSocket discovery = listening()) {
+            Files.writeString(file, configuration(9, discovery.getLocalPort()));
+            ProcessBuilder builder = builder("serve", "--configuration", file.toString());
+            List<String> command = new ArrayList<>(List.of("bash", "-c", "trap '' HUP; exec \"$@\"", "bash"));
+            command.addAll(builder.command());
+            node = builder.command(command).start();
+            BufferedReader log = reader(node.getInputStream());
+            String said = log.readLine() + log.readLine() + log.readLine();
+            assertTrue(said.contains("SIGHUP is ignored by whoever started this process"), said);
+        } finally {
+            if (node != null) {
+                node.destroyForcibly();
+            }
+            Files.delete(file);
+        }
+    }
+
     @Test
     public void configurationOfAnotherDeploymentIsRefusedWhole() throws Exception {
         Path file = Files.createTempFile("embershift", ".json");
