--- a/rig/src/main/java/embershift/rig/scale/ScalingGuard.java
+++ b/rig/src/main/java/embershift/rig/scale/ScalingGuard.java
@@ -80,7 +80,7 @@
 
     static {
         PARTS.put("module", Part.of(40, ScalingGuard::module, "the module's round without news, by hosts", LINEAR,
-                "with a report", LINEAR, "with an arrival", LINEAR, "first list", SQUARE, "questions", COUNTED_LINEAR));
+                "with a report", LINEAR, "with an arrival", LINEAR, "first list", LINEAR, "questions", COUNTED_LINEAR));
         PARTS.put("words", Part.of(10, many -> {
             double[] sunk = WordCosts.sinking(many);
             double[] left = WordCosts.leaving(many);
