A node never gives way to another incarnation of itself

Cause: of 100 hollow nodes that started together on a machine at a load of 40 to 58, 33 were told that another process has their name, of 300 167 (docs/CAPACITY.md), where each was alone of its name. By reading: a registration is given up after 3 s and may come about later, so that one process has two incarnations; where it then comes back by the lower, Nodes.welcome took the higher one of its own left connection for another process.

Change: a process gives way to a later one of another boot only (Nodes.givesWay).

The start of 100 and 300 together: see docs/CAPACITY.md.

--- a/hosted/src/main/java/embershift/hosted/Nodes.java
+++ b/hosted/src/main/java/embershift/hosted/Nodes.java
@@ -204,11 +204,20 @@
         });
     }
 
+    /**
+     * Whether a process gives way to another that has its name: to one that began after it. A process whose registration was
+     * given up, and came about later all the same, has two incarnations, and may be known here by the higher one of a connection
+     * that it has left: it never gives way to itself.
+     */
+    static boolean givesWay(long incarnation, String boot, long otherIncarnation, String otherBoot) {
+        return otherIncarnation > incarnation && !otherBoot.equals(boot);
+    }
+
     private void welcome(NodeLink link, long incarnation) {
         link.incarnation = incarnation;
         NodeLink before = links.get(link.name);
         if (before != null && before != link) {
-            if (before.incarnation > incarnation) {
+            if (givesWay(incarnation, link.boot, before.incarnation, before.boot)) {
                 link.out("another process has the name " + link.name + " since");
                 return;
             }
