A schedule's fault that wants all instances in step waits for the faults before it to end

Cause: PlayTest's schedule of disks did not end in 130 s once at a load of 9. On a slow machine cutting the log took longer than until the next fault, so the cut instance's restart was queued behind a fault that waits, on the same thread, for all to be in step; that gave up after its time and took a second instance's promises, of three. By reading, the lines are Play.befall and awaitInStep. Change: such a fault is put behind the pending ends of those before it.

--- a/rig/src/main/java/embershift/rig/process/Play.java
+++ b/rig/src/main/java/embershift/rig/process/Play.java
@@ -80,7 +80,8 @@
         return report;
     }
 
-    private record Step(double at, Runnable what) {
+    /** {@code ends}: whether it ends a fault; {@code alone}: whether it waits for the faults before it to end. */
+    private record Step(double at, boolean ends, boolean alone, Runnable what) {
     }
 
     private Report run(long seed) throws IOException {
@@ -138,18 +139,30 @@
 
     private void befall(double began) {
         PriorityQueue<Step> steps = new PriorityQueue<>(Comparator.comparingDouble(Step::at));
-        schedule.fault().forEach(fault -> steps.add(new Step(fault.at(), () -> {
+        schedule.fault().forEach(fault -> steps.add(new Step(fault.at(), false, wantsAllInStep(fault.what()), () -> {
             Runnable over = befalls(fault);
-            steps.add(new Step(history.now() - began + fault.lasts(), over));
+            steps.add(new Step(history.now() - began + fault.lasts(), true, false, over));
         })));
         while (!steps.isEmpty()) {
             Step next = steps.remove();
+            double ended = steps.stream().filter(Step::ends).mapToDouble(Step::at).max().orElse(next.at);
+            if (next.alone && ended > next.at) {
+                // On a slow machine a fault may take longer to begin than the next one comes after it. An instance that is to be
+                // started again behind that one would be waited for in vain, and two of three lost at once.
+                steps.add(new Step(Math.nextUp(ended), false, true, next.what));
+                continue;
+            }
             Instances.sleep(Math.max(0, began + next.at - history.now()));
             next.what.run();
         }
         Instances.sleep(Math.max(0, began + schedule.lasts() - history.now()));
     }
 
+    /** Faults that take what an instance had promised: the others have to be whole. */
+    private static boolean wantsAllInStep(Schedule.What what) {
+        return what == Schedule.What.LOG_FLIPPED || what == Schedule.What.FOLDER_LOST;
+    }
+
     /** Who is meant just now. */
     private String who(String word, String but) {
         if (!word.equals("leader") && !word.equals("follower")) {
@@ -221,7 +234,7 @@
     }
 
     private Runnable onProcess(Schedule.Fault fault, String whom) {
-        if (fault.what() == Schedule.What.LOG_FLIPPED || fault.what() == Schedule.What.FOLDER_LOST) {
+        if (wantsAllInStep(fault.what())) {
             awaitInStep();
         }
         Program program = instances.program(whom);
