--- a/core/src/main/java/embershift/policy/Obstacles.java
+++ b/core/src/main/java/embershift/policy/Obstacles.java
@@ -15,9 +15,9 @@
     }
 
     /**
-     * What stands at most of the hosts that are ready, of as many the later in its order. {@code used}: hosts that get
-     * anything new; {@code late}: those whose messages come too late for the tunnel; {@code taking}: those that would
-     * take it if they had room.
+     * What stands at most of the hosts that are ready, of as many the later in its order. {@code used}:
+     * hosts that get anything new; {@code late}: those whose messages come too late for the tunnel;
+     * {@code taking}: those that would take it if they had room.
      */
     static DeclineReason commonest(Collection<Host> hosts, Predicate<Host> used, Predicate<Host> late,
                                    Predicate<Host> taking) {
@@ -27,11 +27,13 @@
                 counts.merge(!used.test(host)
                         ? host.silent() ? DeclineReason.HOSTS_SILENT : DeclineReason.HOSTS_FAILED
                         : late.test(host) ? DeclineReason.HOSTS_LATE
-                        : taking.test(host) ? DeclineReason.HOSTS_FULL : DeclineReason.HOSTS_COLD, 1, Integer::sum);
+                        : taking.test(host) ? DeclineReason.HOSTS_FULL : DeclineReason.HOSTS_COLD,
+                        1, Integer::sum);
             }
         }
         return counts.entrySet().stream()
-                .max(Map.Entry.<DeclineReason, Integer>comparingByValue().thenComparing(Map.Entry.comparingByKey()))
+                .max(Map.Entry.<DeclineReason, Integer>comparingByValue()
+                        .thenComparing(Map.Entry.comparingByKey()))
                 .map(Map.Entry::getKey).orElse(DeclineReason.NO_HOST_READY);
     }
 }
--- a/core/src/main/java/embershift/policy/Seats.java
+++ b/core/src/main/java/embershift/policy/Seats.java
@@ -22,8 +22,9 @@
     private int fillings;
 
     /**
-     * Keeps the roll in one order at all nodes, so that the intervals of the draw lie alike. Hosts are seated when they are
-     * next looked for: a list of thousands is enrolled in one round, and would be seated as often as it has hosts.
+     * Keeps the roll in one order at all nodes, so that the intervals of the draw lie alike. Hosts are
+     * seated when they are next looked for: a list of thousands is enrolled in one round, and would be
+     * seated as often as it has hosts.
      */
     Host enrol(Host host, List<Host> roll) {
         int at = Collections.binarySearch(roll, host, Comparator.comparing((Host other) -> other.id.name()));
