--- a/review/stand/BanNow.java
+++ b/review/stand/BanNow.java
@@ -4,7 +4,7 @@
 /** Case: two revisions are made while the duty rollout has no owner, the first of them with --now. */
 final class BanNow {
 
-    /** Many times what an owner's successor takes: session 3 s, an election, 0.5 s to act. */
+    /** More than the session (5 s), an election (0.6 s) and the rollout's patience (10 s) together. */
     private static final double BOUND_SECONDS = 20;
 
     private static final double WATCHED_SECONDS = 35;
@@ -20,7 +20,12 @@
         }
         Stand.Discovery discovery = stand.new Discovery(hosts, 40);
         Fleet fleet =
-                new Fleet(stand, 3, "[fleet]\ndiscovery = \"127.0.0.1:" + discovery.port + "\"\n");
+                new Fleet(
+                        stand,
+                        3,
+                        "[fleet]\ndiscovery = \"127.0.0.1:"
+                                + discovery.port
+                                + "\"\nsession-s = 5\n");
         for (String name : List.of("n1", "n2", "n3")) {
             fleet.startNode(name, discovery.port, hosts, "");
         }
--- a/review/stand/Stand.java
+++ b/review/stand/Stand.java
@@ -180,7 +180,8 @@
         void signal(String signal) throws Exception {
             note("SIG" + signal + " to " + name);
             Process kill =
-                    new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start();
+                    new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid())
+                            .start();
             kill.waitFor();
         }
 
