Read stored ejections whether or not another process is seen at the address

Cause: NodeProcess.applyStatuses read the stored list only while SiblingProcesses.exchange saw another process. A process that shuts down releases its slot first and takes operators' calls until it exits, so what it stored last had no reader. Checked: the list file is published before the answer, and the new process applied it once a call of its own made it read.

--- a/node/src/main/java/embershift/program/NodeProcess.java
+++ b/node/src/main/java/embershift/program/NodeProcess.java
@@ -230,11 +230,13 @@
     }
 
     /**
-     * While another process serves at this address, both apply the same ejections and share the
-     * descriptors.
+     * All processes at this address apply the same ejections, and those that serve share the
+     * descriptors. The stored ejections are read whether or not another process serves: one that is
+     * shutting down still accepts the operators' requests and is no longer seen here.
      */
     private void pollSiblings() {
         SiblingProcesses.ProcessStatus own = status();
+        ejections.reloadStored();
         loop.executeBlocking(
                 () -> {
                     List<SiblingProcesses.ProcessStatus> others = siblings.exchange(own);
@@ -256,9 +258,6 @@
                 others.stream().mapToInt(SiblingProcesses.ProcessStatus::descriptors).sum(),
                 others.size());
         others.forEach(other -> router.adoptTunnelsPerWarmHost(other.tunnelsPerWarmHost()));
-        if (!others.isEmpty()) {
-            ejections.reloadStored();
-        }
     }
 
     private void enter(Phase next) {
--- a/node/src/test/java/embershift/program/ReplaceTest.java
+++ b/node/src/test/java/embershift/program/ReplaceTest.java
@@ -248,6 +248,28 @@
                 Set.of());
     }
 
+    /** Guards against a process that misses an ejection stored by one that is shutting down. */
+    @Test
+    public void ejectionAtAProcessThatIsShuttingDownHoldsAtItsSuccessor() throws Exception {
+        acceptTunnels();
+        int port = freePort();
+        int[] management = {freePort(), freePort()};
+        Process old = start(port, management[0]);
+        awaitReady(management[0]);
+        try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            // Keeps the process from exiting until the request below has been answered.
+            assertEquals(openTunnel(client, "a"), "UP r");
+            start(port, management[1]);
+            awaitReady(management[1]);
+            old.toHandle().destroy();
+            while (!Files.readString(folder.resolve("log-" + management[0])).contains("leaving")) {
+                Thread.onSpinWait();
+            }
+            assertTrue(call(management[0], "POST /api/exclude/s").contains("\"kept\":true"));
+        }
+        awaitTelemetry(management[1], "\"out_of_rotation\":1");
+    }
+
     private void awaitTelemetry(int management, String expected) throws Exception {
         long deadline = System.nanoTime() + TIMEOUT_MS * 1_000_000L;
         while (!call(management, "GET /api/telemetry").contains(expected)) {
