Move the judgement of canaries out of ConfigRollout

What a canary's reports say of the revision (rejected, restarted, silent, late, failing tunnels, settled) stands in CanaryCheck now, with its threshold named. No change of behaviour; the mutation of FleetWorldTest that skips the restart check follows the line to its new place.

--- a/fleet/src/main/java/embershift/fleet/rollout/ConfigRollout.java
+++ b/fleet/src/main/java/embershift/fleet/rollout/ConfigRollout.java
@@ -318,70 +318,23 @@
             // alone, than nodes that the revision made fail.
             stageEnteredAt = now;
         }
+        CanaryCheck check =
+                new CanaryCheck(settings, progress.revision(), now, now - stageEnteredAt);
         boolean allSettled = true;
         for (String name : progress.canaries()) {
-            Optional<String> failure = findCanaryFailure(name);
+            Optional<ManagedNode> node = Optional.ofNullable(nodes.get(name));
+            Optional<String> failure = check.findFailure(node);
             if (failure.isPresent()) {
                 enter(progress.halted(name + " " + failure.get()));
                 return;
             }
-            allSettled &= hasCanarySettled(name);
+            allSettled &= node.filter(check::hasSettled).isPresent();
         }
         if (allSettled) {
             enter(progress.withStage(RolloutStage.ALL));
         }
     }
 
-    private boolean isSilent(ManagedNode node) {
-        return node == null || node.isSilent(now, settings.silentSeconds());
-    }
-
-    /** Returns why, by this canary, the rollout must not go on; empty if nothing is wrong. */
-    private Optional<String> findCanaryFailure(String name) {
-        ManagedNode node = nodes.get(name);
-        Optional<NodeReport> report = Optional.ofNullable(node).flatMap(ManagedNode::report);
-        if (report.filter(each -> each.rejectedRevision() == progress.revision()).isPresent()) {
-            return Optional.of("refused it: " + report.get().rejectionReason());
-        }
-        if (node != null && node.wasRestartedSinceCanaryOrder()) {
-            return Optional.of("was restarted while it applied it");
-        }
-        double stageSeconds = now - stageEnteredAt;
-        if (isSilent(node) && stageSeconds > settings.silentSeconds()) {
-            return Optional.of("is silent");
-        }
-        if (stageSeconds > settings.canaryTimeoutSeconds() + settings.settleSeconds()) {
-            return Optional.of(isSilent(node) ? "is silent" : "did not apply it in time");
-        }
-        if (isRunningRevision(node)) {
-            node.startCanary(now);
-            return findServiceFailure(node);
-        }
-        return Optional.empty();
-    }
-
-    private boolean isRunningRevision(ManagedNode node) {
-        return !isSilent(node)
-                && node.report()
-                        .filter(each -> each.revision() == progress.revision() && each.ready())
-                        .isPresent();
-    }
-
-    private Optional<String> findServiceFailure(ManagedNode node) {
-        long opened = node.openedSinceCanaryStart();
-        long failed = node.failedSinceCanaryStart();
-        long all = opened + failed;
-        return failed > 2 && opened < settings.minServiceRate() * all
-                ? Optional.of(
-                        "closed " + failed + " of " + all + " tunnels with error since applying it")
-                : Optional.empty();
-    }
-
-    private boolean hasCanarySettled(String name) {
-        ManagedNode node = nodes.get(name);
-        return isRunningRevision(node) && now - node.canarySince() >= settings.settleSeconds();
-    }
-
     private void orderNodes() {
         long inFlight = nodes.values().stream().filter(node -> node.isInFlight(now)).count();
         for (Map.Entry<String, ManagedNode> each : nodes.entrySet()) {
--- a/rig/src/test/java/embershift/rig/FleetWorldTest.java
+++ b/rig/src/test/java/embershift/rig/FleetWorldTest.java
@@ -113,8 +113,8 @@
                 "if (false) {"
             },
             {
-                "rollout/ConfigRollout",
-                "if (node != null && node.wasRestartedSinceCanaryOrder()) {",
+                "rollout/CanaryCheck",
+                "if (canary.filter(ManagedNode::wasRestartedSinceCanaryOrder).isPresent()) {",
                 "if (false) {"
             },
             {
