Send each immediate revision to all nodes before a later one is tried

Cause: ConfigRollout.startRolloutIfDue looked at the latest revision alone, so an immediate one that was not the latest was passed over and lastGoodRevision stayed before it. Alike: RolloutTask read the mark of an immediate revision once, with the revision; and a canary that refused the later revision got no order for an earlier target.

Change: what is immediate and above the last good revision goes to all nodes first, or beside a later one that is under way or halted; marks are read with each change of the store. Nothing depends on which revision an owner saw last.

--- a/fleet/src/main/java/embershift/fleet/rollout/ConfigRollout.java
+++ b/fleet/src/main/java/embershift/fleet/rollout/ConfigRollout.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 
 /**
@@ -49,8 +50,8 @@
     private final TreeMap<String, ManagedNode> nodes = new TreeMap<>();
     private final ShutOutNodes shutOutNodes = new ShutOutNodes();
 
-    /** The latest revision that is sent to all nodes at once, without canaries. */
-    private long latestImmediateRevision;
+    /** Numbers of the revisions that are sent to all nodes at once, without canaries. */
+    private final TreeSet<Long> immediateRevisions = new TreeSet<>();
 
     private long floor;
     private RolloutProgress progress = RolloutProgress.INITIAL;
@@ -69,17 +70,21 @@
     public ConfigRollout(RolloutSettings settings, Environment environment) {
         this.settings = settings;
         this.environment = environment;
-        addRevision(ConfigRevision.NONE, false);
+        addRevision(ConfigRevision.NONE);
     }
 
-    /** Adds a revision from the store; if {@code isImmediate}, it is sent to all nodes at once. */
-    public void addRevision(ConfigRevision revision, boolean isImmediate) {
+    /** Adds a revision from the store. */
+    public void addRevision(ConfigRevision revision) {
         if (revisions.put(revision.number(), revision) == null) {
             digests.add(revision);
         }
-        if (isImmediate) {
-            latestImmediateRevision = Math.max(latestImmediateRevision, revision.number());
-        }
+    }
+
+    /**
+     * Marks a revision as one that is sent to all nodes at once; it may be added before or after.
+     */
+    public void markImmediate(long number) {
+        immediateRevisions.add(number);
     }
 
     /** Continues from the stored progress; empty if there is none. */
@@ -204,7 +209,7 @@
     }
 
     private String rejectionSuffix(String name, NodeReport report) {
-        return report.rejectedRevision() >= targetOf(name)
+        return report.rejectedRevision() == targetOf(name)
                 ? ", rejected the target: " + report.rejectionReason()
                 : "";
     }
@@ -256,7 +261,10 @@
         if (pendingProgressWrites > 0) {
             return;
         }
-        startRolloutIfDue();
+        sendImmediateRevision();
+        if (pendingProgressWrites == 0) {
+            startRolloutIfDue();
+        }
         if (progress.stage() == RolloutStage.FIRST && pendingProgressWrites == 0) {
             checkCanaries();
         }
@@ -266,6 +274,30 @@
         }
     }
 
+    /**
+     * Sends an immediate revision to all nodes before a later revision is tried on canaries, so
+     * that it does not depend on what becomes of that one. One whose mark has only been seen after
+     * a later revision was started is sent beside it.
+     */
+    private void sendImmediateRevision() {
+        long immediate = latestImmediateRevision();
+        if (immediate <= progress.lastGoodRevision()) {
+            return;
+        }
+        enter(
+                immediate < progress.revision()
+                        ? progress.withLastGoodRevision(immediate)
+                        : new RolloutProgress(
+                                immediate, RolloutStage.ALL, immediate, List.of(), ""));
+    }
+
+    private long latestImmediateRevision() {
+        return immediateRevisions.descendingSet().stream()
+                .filter(revisions::containsKey)
+                .findFirst()
+                .orElse(ConfigRevision.NONE.number());
+    }
+
     private void startRolloutIfDue() {
         long latest = revisions.lastKey();
         if (latest <= progress.revision()) {
@@ -277,14 +309,11 @@
             return;
         }
         stageEnteredAt = now;
-        long lastGoodRevision = progress.lastGoodRevision();
-        if (latest <= latestImmediateRevision) {
-            enter(new RolloutProgress(latest, RolloutStage.ALL, latest, List.of(), ""));
-            return;
-        }
         List<String> canaries = chooseCanaries(latest, eligible);
         nodes.values().forEach(ManagedNode::resetCanary);
-        enter(new RolloutProgress(latest, RolloutStage.FIRST, lastGoodRevision, canaries, ""));
+        enter(
+                new RolloutProgress(
+                        latest, RolloutStage.FIRST, progress.lastGoodRevision(), canaries, ""));
     }
 
     /** Chooses other canaries for each revision. */
@@ -363,11 +392,11 @@
         if (!node.mayBeOrdered(now)) {
             return false;
         }
-        boolean hasRejectedCanary =
-                report.rejectedRevision() >= targetOf(name)
+        boolean isRejectedCanaryRevision =
+                report.rejectedRevision() == targetOf(name)
                         && report.rejectedRevision() == progress.revision()
                         && progress.stage() != RolloutStage.ALL;
-        if (hasRejectedCanary) {
+        if (isRejectedCanaryRevision) {
             return false;
         }
         if (node.attempts() >= settings.maxAttempts() && !node.isRestartRequested()) {
--- a/fleet/src/main/java/embershift/fleet/rollout/RolloutProgress.java
+++ b/fleet/src/main/java/embershift/fleet/rollout/RolloutProgress.java
@@ -30,6 +30,10 @@
         return new RolloutProgress(revision, newStage, newLastGoodRevision, canaries, haltReason);
     }
 
+    RolloutProgress withLastGoodRevision(long number) {
+        return new RolloutProgress(revision, stage, number, canaries, haltReason);
+    }
+
     RolloutProgress halted(String reason) {
         return new RolloutProgress(
                 revision, RolloutStage.HALTED, lastGoodRevision, canaries, reason);
--- a/fleet/src/test/java/embershift/fleet/StoredFormatTest.java
+++ b/fleet/src/test/java/embershift/fleet/StoredFormatTest.java
@@ -149,9 +149,9 @@
         ConfigRevision second = first.next(set("out/h2", "x"));
         Collection<String> names = List.of("n1", "n2");
         names.forEach(rollout::addNode);
-        rollout.addRevision(first, false);
+        rollout.addRevision(first);
         simulate(rollout, names, recorded, 0, first, 0);
-        rollout.addRevision(second, false);
+        rollout.addRevision(second);
         simulate(rollout, names, recorded, 30, first, second.number());
         for (NodeState state : NodeState.values()) {
             recorded.add("state " + state);
--- a/hosted/src/main/java/embershift/hosted/RolloutTask.java
+++ b/hosted/src/main/java/embershift/hosted/RolloutTask.java
@@ -122,18 +122,15 @@
         for (KeyValue item : items) {
             if (item.key().startsWith(REVISION_PREFIX)) {
                 ConfigRevision revision =
-                        knownRevisions.contains(revisionNumber(item.key()))
+                        knownRevisions.contains(numberAfter(REVISION_PREFIX, item.key()))
                                 ? null
                                 : ConfigRevision.decode(item.value()).orElse(null);
                 if (revision != null) {
                     knownRevisions.add(revision.number());
-                    rollout.addRevision(
-                            revision,
-                            restored.containsKey(IMMEDIATE_PREFIX + revision.number())
-                                    || tasks.store()
-                                            .find(IMMEDIATE_PREFIX + revision.number())
-                                            .isPresent());
+                    rollout.addRevision(revision);
                 }
+            } else if (item.key().startsWith(IMMEDIATE_PREFIX)) {
+                rollout.markImmediate(numberAfter(IMMEDIATE_PREFIX, item.key()));
             } else if (item.key().equals(FLOOR_KEY)) {
                 rollout.raiseFloorTo(leadingNumber(item));
             } else if (item.key().startsWith(NodeConnections.NODE_PREFIX)) {
@@ -142,8 +139,9 @@
         }
     }
 
-    private static long revisionNumber(String key) {
-        String digits = key.substring(REVISION_PREFIX.length());
+    /** The number that a key has after its prefix; -1 if it has none. */
+    private static long numberAfter(String prefix, String key) {
+        String digits = key.substring(prefix.length());
         return digits.matches("\\d{1,18}") ? Long.parseLong(digits) : -1;
     }
 
@@ -158,6 +156,7 @@
         }
         appliedStoreRevision = storeRevision;
         applyItems(tasks.store().findByPrefix(REVISION_PREFIX));
+        applyItems(tasks.store().findByPrefix(IMMEDIATE_PREFIX));
         KeyValue floor = tasks.store().find(FLOOR_KEY).orElse(null);
         if (floor != null) {
             rollout.raiseFloorTo(leadingNumber(floor));
@@ -233,7 +232,7 @@
         for (int i = 0;
                 i < revisions.size() - RETAINED_REVISIONS && mutations.size() < MAX_MUTATIONS;
                 i++) {
-            if (revisionNumber(revisions.get(i).key()) < rollout.floor()) {
+            if (numberAfter(REVISION_PREFIX, revisions.get(i).key()) < rollout.floor()) {
                 mutations.add(Mutation.delete(revisions.get(i).key()));
             }
         }
--- a/rig/src/main/java/embershift/rig/scale/RolloutCosts.java
+++ b/rig/src/main/java/embershift/rig/scale/RolloutCosts.java
@@ -160,7 +160,8 @@
         ConfigRevision change = ConfigRevision.NONE.next(Map.of("out/h7", Optional.of("worn")));
         before = fleet.spent;
         double began = fleet.now;
-        fleet.rollout.addRevision(change, true);
+        fleet.rollout.addRevision(change);
+        fleet.rollout.markImmediate(change.number());
         while (fleet.goneBy.values().stream().anyMatch(by -> by.number() < 1)
                 && fleet.now < began + LONGEST) {
             fleet.run(fleet.now + TICK / 2);
--- a/rig/src/main/java/embershift/rig/world/FleetWorld.java
+++ b/rig/src/main/java/embershift/rig/world/FleetWorld.java
@@ -432,12 +432,8 @@
         }
 
         private void follow() {
-            revisions
-                    .values()
-                    .forEach(
-                            revision ->
-                                    rollout.addRevision(
-                                            revision, hurried.contains(revision.number())));
+            revisions.values().forEach(rollout::addRevision);
+            hurried.forEach(rollout::markImmediate);
             rollout.raiseFloorTo(floor);
             registered.keySet().forEach(rollout::addNode);
             out.forEach((name, incarnation) -> rollout.setShutOut(name, incarnation, true));
@@ -699,6 +695,7 @@
         time.every(1.1, this::discoveryChanges);
         time.every(7, this::fold);
         time.every(2.3, this::revise);
+        time.at(FAULTS + 14, this::reviseAtOnceWhileOwnerChanges);
         // After a halt it is for a person to go on.
         time.at(FAULTS + 38, this::reviseNow);
         time.every(0.7, this::fault);
@@ -766,9 +763,49 @@
         changes.put("sockets", String.valueOf(900 + last.number()));
         Map<String, Optional<String>> wanted = new TreeMap<>();
         changes.forEach((field, value) -> wanted.put(field, Optional.ofNullable(value)));
-        ConfigRevision next = last.next(wanted);
+        addRevision(wanted);
+    }
+
+    /**
+     * No station has the duties as a revision for all at once is made, and one that nodes refuse
+     * behind it: the first reaches all nodes whatever becomes of the second.
+     */
+    private void reviseAtOnceWhileOwnerChanges() {
+        stations.get(stations.size() - 1).actsUntil = time.now();
+        hurried.add(addRevision(Map.of("out/h1", Optional.of("worn"))));
+        long immediate = revisions.lastKey();
+        addRevision(Map.of(POISON, Optional.of("1")));
+        time.in(
+                1,
+                () -> {
+                    Station next = new Station();
+                    stations.add(next);
+                    next.discoverySaid(discovery.lastKey());
+                    count("revisions at once without an owner");
+                });
+        time.in(
+                20,
+                () ->
+                        nodes.stream()
+                                .filter(node -> out.getOrDefault(node.name, 0L) < node.incarnation)
+                                .filter(node -> node.held.number() < immediate)
+                                .forEach(
+                                        node ->
+                                                broken(
+                                                        node.name
+                                                                + " goes by "
+                                                                + node.held.number()
+                                                                + ", not by the immediate "
+                                                                + immediate)));
+    }
+
+    private long addRevision(Map<String, Optional<String>> changes) {
+        ConfigRevision last =
+                revisions.isEmpty() ? ConfigRevision.NONE : revisions.lastEntry().getValue();
+        ConfigRevision next = last.next(changes);
         revisions.put(next.number(), next);
         revisionOfRecord++;
+        return next.number();
     }
 
     private void fault() {
--- a/rig/src/test/java/embershift/rig/FleetWorldTest.java
+++ b/rig/src/test/java/embershift/rig/FleetWorldTest.java
@@ -57,7 +57,8 @@
                         "nodes that go astray",
                         "gaps told",
                         "spells told",
-                        "segments folded")) {
+                        "segments folded",
+                        "revisions at once without an owner")) {
             assertTrue(reached.getOrDefault(what, 0L) >= 20, what + " in " + reached);
         }
     }
@@ -107,6 +108,16 @@
                 "return isForNode ? progress.revision() : progress.lastGoodRevision();",
                 "return progress.revision();"
             },
+            {
+                "rollout/ConfigRollout",
+                "if (immediate <= progress.lastGoodRevision()) {",
+                "if (immediate < revisions.lastKey()) {"
+            },
+            {
+                "rollout/ConfigRollout",
+                "report.rejectedRevision() == targetOf(name) && report",
+                "report.rejectedRevision() >= targetOf(name) && report"
+            },
             {
                 "rollout/ConfigRollout",
                 "if (shutOutNodes.countByRollout() >= limit) {",
