Ask discovery for the full list until it has been answered

Cause: RosterClient.callFailed forgot that the full list was wanted, although responseReceived had taken over the new, lower version. Beside it, a duplicate of the partial answer ended the call for the full list on a kept connection.

Change: only an answer ends the wish; on a kept connection a partial answer to a call for the full list is a duplicate.

--- a/node/src/main/java/embershift/routing/RosterClient.java
+++ b/node/src/main/java/embershift/routing/RosterClient.java
@@ -30,7 +30,10 @@
     private long generation = -1;
     private boolean watching;
 
-    /** Whether the policy or a new generation count requires a full list. */
+    /**
+     * Whether the policy or a new generation count requires a full list. A failed call does not
+     * change that: the next one asks for the full list again.
+     */
     private boolean fullListWanted;
 
     /** Whether the call in progress asks for the full list. */
@@ -185,7 +188,6 @@
         if (!schedule.isCalling()) {
             return;
         }
-        fullListWanted = false;
         if (watching) {
             schedule.callFailed(router.now());
         } else {
@@ -217,11 +219,12 @@
                 update.generation() == generation
                         && !update.entries().isEmpty()
                         && schedule.isEarly(router.now());
-        if (reusedConnection
-                && (update.generation() < generation
-                        || (!fullListRequested && repeatsLastAnswer))) {
-            // On one connection generations only grow: this is a duplicate of an earlier answer,
-            // and discovery still holds the call in progress.
+        boolean isOutOfStep =
+                update.generation() < generation
+                        || (fullListRequested ? !update.full() : repeatsLastAnswer);
+        if (reusedConnection && isOutOfStep) {
+            // On one connection generations only grow, and a full list is answered as such: this
+            // is a duplicate of an earlier answer, and discovery still holds the call in progress.
             repeatOnNewConnection();
             return;
         }
--- a/node/src/test/java/embershift/routing/RouterRaceTest.java
+++ b/node/src/test/java/embershift/routing/RouterRaceTest.java
@@ -433,6 +433,46 @@
         assertEquals(readRequest(next), "GET /api/targets HTTP/1.1");
     }
 
+    /** Guards against a wish for the full list that ends with a failed call. */
+    @Test
+    public void fullRosterRequestIsRepeatedUntilItIsAnswered() throws Exception {
+        startRouter("1024");
+        Socket watch = accept(discovery);
+        readRequest(watch);
+        sendOkResponse(watch, rosterJson(40, true));
+        readRequest(watch);
+        watch.close();
+        Socket next = accept(discovery);
+        readRequest(next);
+        sendOkResponse(next, rosterJson(3, false));
+        assertEquals(readRequest(next), "GET /api/targets HTTP/1.1");
+        send(next, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        Socket second = accept(discovery);
+        assertEquals(readRequest(second), "GET /api/targets HTTP/1.1");
+        reset(second);
+        Socket third = accept(discovery);
+        assertEquals(readRequest(third), "GET /api/targets HTTP/1.1");
+        sendOkResponse(third, rosterJson(3, true));
+        assertEquals(readRequest(third), "GET /api/targets?after=3&wait_ms=3000 HTTP/1.1");
+    }
+
+    /** Guards against a duplicate of an earlier answer that is taken for the full list. */
+    @Test
+    public void duplicateOfPartialRosterDoesNotEndFullRosterRequest() throws Exception {
+        startRouter("1024");
+        Socket watch = accept(discovery);
+        readRequest(watch);
+        sendOkResponse(watch, rosterJson(40, true));
+        readRequest(watch);
+        watch.close();
+        Socket next = accept(discovery);
+        readRequest(next);
+        sendOkResponse(next, rosterJson(3, false));
+        assertEquals(readRequest(next), "GET /api/targets HTTP/1.1");
+        sendOkResponse(next, rosterJson(3, false));
+        assertEquals(readRequest(accept(discovery)), "GET /api/targets HTTP/1.1");
+    }
+
     @Test
     public void fullRosterRequestDuringWatchFollowsIt() throws Exception {
         startRouter("1024");
