Report a restart of discovery with the complete list, however late that comes

Cause: DiscoveryWatch set its version to "none" to ask for the complete list and so no longer saw that list as one of a restarted discovery. While it waited for it, a duplicate of the partial answer was taken for the complete list.

Change: the restart is kept until the complete list is handed on; an unmarked answer on a kept connection is a duplicate.

Evidence: the two new cases of DiscoveryWatchTest failed before and pass. Not played with processes.

--- a/hosted/src/main/java/embershift/hosted/DiscoveryWatch.java
+++ b/hosted/src/main/java/embershift/hosted/DiscoveryWatch.java
@@ -43,6 +43,9 @@
     /** Whether this connection has delivered an answer; after that its generations only grow. */
     private boolean hasAnsweredOnConnection;
 
+    /** Whether discovery counts generations anew and the listener has not been notified yet. */
+    private boolean isRestartUnreported;
+
     private double lastAnswerAt = Double.NEGATIVE_INFINITY;
     private long callCount;
 
@@ -139,13 +142,17 @@
         }
         lastAnswerAt = loop.now();
         long newGeneration = body.path("generation").asLong();
-        boolean isComplete = body.path("reset").asBoolean() || generation < 0;
+        boolean isMarkedComplete = body.path("reset").asBoolean();
+        boolean isCompleteRequested = generation < 0;
+        boolean isComplete = isMarkedComplete || isCompleteRequested;
         boolean isRestarted = newGeneration < generation;
         boolean isRepeated =
                 newGeneration == generation
                         && !body.path("instances").isEmpty()
                         && schedule.isEarly(loop.now());
-        if (hasAnsweredOnConnection && (isRestarted || isRepeated)) {
+        boolean isOutOfStep =
+                isRestarted || isRepeated || (isCompleteRequested && !isMarkedComplete);
+        if (hasAnsweredOnConnection && isOutOfStep) {
             // An earlier answer was delivered again, perhaps a complete one. Hosts that it lists
             // as ready may have been told to drain since, and the call in flight still waits
             // at discovery.
@@ -155,6 +162,7 @@
         }
         hasAnsweredOnConnection = true;
         schedule.callAnswered(loop.now(), newGeneration != generation);
+        isRestartUnreported |= isRestarted;
         if (isRestarted && !isComplete) {
             // A difference from a roster that this instance does not have.
             generation = -1;
@@ -170,7 +178,8 @@
             }
         }
         generation = newGeneration;
-        listener.answerReceived(newGeneration, entries, isRestarted);
+        listener.answerReceived(newGeneration, entries, isRestartUnreported);
+        isRestartUnreported = false;
         callOrWait();
     }
 
--- a/hosted/src/test/java/embershift/hosted/DiscoveryWatchTest.java
+++ b/hosted/src/test/java/embershift/hosted/DiscoveryWatchTest.java
@@ -158,4 +158,45 @@
         send(nextCall, response(2, true, "terminating"));
         assertTrue(nextAnswer().endsWith(" true"));
     }
+
+    /**
+     * Guards against a restart of discovery that is forgotten before the complete list is there.
+     */
+    @Test
+    public void restartIsReportedWithTheCompleteListHoweverLateThatComes() throws Exception {
+        Socket call = acceptCall();
+        readRequest(lines(call));
+        send(call, response(40, true, "in_service"));
+        assertTrue(nextAnswer().startsWith("40 "));
+        call.close();
+        Socket next = acceptCall();
+        BufferedReader lines = lines(next);
+        readRequest(lines);
+        send(next, response(3, false, "in_service"));
+        assertEquals(readRequest(lines), "GET /api/targets HTTP/1.1");
+        send(next, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        Socket retry = acceptCall();
+        assertEquals(readRequest(lines(retry)), "GET /api/targets HTTP/1.1");
+        send(retry, response(3, true, "terminating"));
+        String answer = nextAnswer();
+        assertTrue(answer.contains("terminating") && answer.endsWith(" true"), answer);
+    }
+
+    /** Guards against a duplicate of a partial answer that is taken for the complete list. */
+    @Test
+    public void duplicateOfPartialAnswerIsNotTakenForTheCompleteList() throws Exception {
+        Socket call = acceptCall();
+        readRequest(lines(call));
+        send(call, response(40, true, "in_service"));
+        assertTrue(nextAnswer().startsWith("40 "));
+        call.close();
+        Socket next = acceptCall();
+        BufferedReader lines = lines(next);
+        readRequest(lines);
+        send(next, response(3, false, "in_service"));
+        assertEquals(readRequest(lines), "GET /api/targets HTTP/1.1");
+        send(next, response(3, false, "in_service"));
+        assertEquals(readRequest(lines(acceptCall())), "GET /api/targets HTTP/1.1");
+        assertEquals(answers.size(), 0);
+    }
 }
