Start revisions from the last good one, and shut out no node for refusing

Cause: revise made each revision a change on the latest one; ConfigRollout treated a node that refuses its target like one that hangs; an immediate revision became the last good one as it was sent.

A refused target leads to further orders only, and its pauses end with the next target. An immediate revision is the last good one once a node applies it and is halted if all refuse it; a later one waits for that, at most patience-s. The command stands in a file of its own.

--- a/fleet/src/main/java/embershift/fleet/rollout/ConfigRevision.java
+++ b/fleet/src/main/java/embershift/fleet/rollout/ConfigRevision.java
@@ -80,7 +80,15 @@
 
     /** Returns the next revision, with these fields set, or removed where the value is empty. */
     public ConfigRevision next(Map<String, Optional<String>> changes) {
-        return new ConfigRevision(number + 1, chainDigest(), withChanges(fields, changes));
+        return next(this, changes);
+    }
+
+    /**
+     * Returns the revision after this one that starts from the fields of {@code base}, with these
+     * fields set, or removed where the value is empty.
+     */
+    public ConfigRevision next(ConfigRevision base, Map<String, Optional<String>> changes) {
+        return new ConfigRevision(number + 1, chainDigest(), withChanges(base.fields, changes));
     }
 
     static SortedMap<String, String> withChanges(
--- a/fleet/src/main/java/embershift/fleet/rollout/ConfigRollout.java
+++ b/fleet/src/main/java/embershift/fleet/rollout/ConfigRollout.java
@@ -81,7 +81,8 @@
     }
 
     /**
-     * Marks a revision as one that is sent to all nodes at once; it may be added before or after.
+     * Marks a revision as one that is sent to all nodes at once; has to be called before the first
+     * {@link #tick} with that revision.
      */
     public void markImmediate(long number) {
         immediateRevisions.add(number);
@@ -262,7 +263,10 @@
             return;
         }
         sendImmediateRevision();
-        if (pendingProgressWrites == 0) {
+        if (pendingProgressWrites == 0 && progress.isUntried()) {
+            judgeImmediateRevision();
+        }
+        if (pendingProgressWrites == 0 && !progress.isUntried()) {
             startRolloutIfDue();
         }
         if (progress.stage() == RolloutStage.FIRST && pendingProgressWrites == 0) {
@@ -276,26 +280,32 @@
 
     /**
      * Sends an immediate revision to all nodes before a later revision is tried on canaries, so
-     * that it does not depend on what becomes of that one. One whose mark has only been seen after
-     * a later revision was started is sent beside it.
+     * that it does not depend on what becomes of that one.
      */
     private void sendImmediateRevision() {
-        long immediate = latestImmediateRevision();
-        if (immediate <= progress.lastGoodRevision()) {
-            return;
+        // A mark may be known before its revision is.
+        Long immediate = immediateRevisions.floor(revisions.lastKey());
+        if (immediate != null && immediate > progress.revision()) {
+            stageEnteredAt = now;
+            enter(progress.sentToAllUntried(immediate));
         }
-        enter(
-                immediate < progress.revision()
-                        ? progress.withLastGoodRevision(immediate)
-                        : new RolloutProgress(
-                                immediate, RolloutStage.ALL, immediate, List.of(), ""));
     }
 
-    private long latestImmediateRevision() {
-        return immediateRevisions.descendingSet().stream()
-                .filter(revisions::containsKey)
-                .findFirst()
-                .orElse(ConfigRevision.NONE.number());
+    /** Keeps an immediate revision as the last good one, or halts it if no node can apply it. */
+    private void judgeImmediateRevision() {
+        ImmediateCheck check =
+                new ImmediateCheck(
+                        progress.revision(),
+                        nodes.entrySet().stream()
+                                .filter(each -> stateOf(each.getKey()).isEligible())
+                                .flatMap(each -> each.getValue().report().stream())
+                                .toList());
+        Optional<String> failure = check.findFailure();
+        if (failure.isPresent()) {
+            enter(progress.halted(failure.get()));
+        } else if (check.isApplied() || now - stageEnteredAt > settings.canaryTimeoutSeconds()) {
+            record(progress.withStage(RolloutStage.ALL));
+        }
     }
 
     private void startRolloutIfDue() {
@@ -326,10 +336,14 @@
         return canaries;
     }
 
-    private void enter(RolloutProgress next) {
+    private void record(RolloutProgress next) {
         progress = next;
         pendingProgressWrites++;
         environment.recordProgress(next.encode());
+    }
+
+    private void enter(RolloutProgress next) {
+        record(next);
         String event =
                 switch (next.stage()) {
                     case FIRST -> "sent to the canaries " + String.join(", ", next.canaries());
@@ -389,15 +403,16 @@
             shutOut(name, report);
             return false;
         }
+        long target = targetOf(name);
+        node.targetChosen(target);
         if (!node.mayBeOrdered(now)) {
             return false;
         }
-        boolean isRejectedCanaryRevision =
-                report.rejectedRevision() == targetOf(name)
-                        && report.rejectedRevision() == progress.revision()
-                        && progress.stage() != RolloutStage.ALL;
-        if (isRejectedCanaryRevision) {
-            return false;
+        // If it has rejected the target, the fault is the revision's and not the node's, which
+        // serves
+        // on by an earlier one. A canary that has rejected it is not asked again.
+        if (report.rejectedRevision() == target) {
+            return progress.stage() == RolloutStage.ALL || target != progress.revision();
         }
         if (node.attempts() >= settings.maxAttempts() && !node.isRestartRequested()) {
             node.markRestartRequested();
--- a/fleet/src/main/java/embershift/fleet/rollout/ManagedNode.java
+++ b/fleet/src/main/java/embershift/fleet/rollout/ManagedNode.java
@@ -82,6 +82,17 @@
         return now >= nextOrderAt && !isInFlight(now);
     }
 
+    /**
+     * Called with the revision that the node should apply: that it has rejected another one counts
+     * neither as failed attempts nor as a reason to wait.
+     */
+    void targetChosen(long revision) {
+        if (report.rejectedRevision() == orderedRevision && revision != orderedRevision) {
+            attempts = 0;
+            nextOrderAt = Double.NEGATIVE_INFINITY;
+        }
+    }
+
     int attempts() {
         return attempts;
     }
--- a/fleet/src/main/java/embershift/fleet/rollout/RolloutProgress.java
+++ b/fleet/src/main/java/embershift/fleet/rollout/RolloutProgress.java
@@ -7,7 +7,7 @@
  * Progress of a rollout, as recorded in the store.
  *
  * @param revision the revision that is being rolled out
- * @param lastGoodRevision the last revision that was sent to all nodes
+ * @param lastGoodRevision the last revision that was sent to all nodes and not rejected by all
  * @param canaries nodes that are updated first
  * @param haltReason empty unless the rollout is halted
  */
@@ -30,8 +30,15 @@
         return new RolloutProgress(revision, newStage, newLastGoodRevision, canaries, haltReason);
     }
 
-    RolloutProgress withLastGoodRevision(long number) {
-        return new RolloutProgress(revision, stage, number, canaries, haltReason);
+    /** The progress after sending a revision to all nodes of which no node is known to apply it. */
+    RolloutProgress sentToAllUntried(long number) {
+        long lastGood = stage == RolloutStage.ALL && !isUntried() ? revision : lastGoodRevision;
+        return new RolloutProgress(number, RolloutStage.ALL, lastGood, List.of(), "");
+    }
+
+    /** Whether the revision was sent to all nodes and none of them is known to apply it. */
+    boolean isUntried() {
+        return stage == RolloutStage.ALL && lastGoodRevision < revision;
     }
 
     RolloutProgress halted(String reason) {
--- a/hosted/src/main/java/embershift/hosted/AdminCommands.java
+++ b/hosted/src/main/java/embershift/hosted/AdminCommands.java
@@ -15,7 +15,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 
 /** The administrators' commands on nodes, leased tasks, revisions and releases. */
@@ -30,7 +29,7 @@
         commands.put("nodes", new ListNodes());
         commands.put("duties", new ListTasks());
         commands.put("duty-transfer", new TransferTask());
-        commands.put("revise", new CreateRevision());
+        commands.put("revise", new CreateRevisionCommand());
         commands.put("revisions", new ListRevisions());
         commands.put("floor", new RaiseFloor());
         commands.put("shut-out", new ShutOutNode());
@@ -183,114 +182,6 @@
         }
     }
 
-    @Parameters(
-            commandDescription =
-                    "FIELD=VALUE ...: create a revision with these fields set: out/HOST, discovery, sockets, peers")
-    private static final class CreateRevision extends FleetCommands.MultiCallCommand {
-        @Parameter(names = "--remove", description = "Fields to remove, separated by commas")
-        String removedFields = "";
-
-        @Parameter(
-                names = "--back-to",
-                description = "Start from the fields of this revision, not of the latest one")
-        long baseRevision = -1;
-
-        @Parameter(names = "--now", description = "Send it to all nodes at once, without a canary")
-        boolean isImmediate;
-
-        @Override
-        StoreClient.Outcome execute(StoreClient client) {
-            Map<String, String> changes = parseChanges();
-            StoreClient.Outcome latest = getKey(client, LATEST_REVISION_KEY);
-            if (!latest.isDone()) {
-                return latest;
-            }
-            long number = firstItem(latest).path("value").asLong();
-            StoreClient.Outcome lastRevision = getKey(client, ConfigRevision.key(number));
-            StoreClient.Outcome base =
-                    baseRevision >= 0 && lastRevision.isDone()
-                            ? getKey(client, ConfigRevision.key(baseRevision))
-                            : lastRevision;
-            if (!base.isDone()) {
-                return base;
-            }
-            ConfigRevision previous =
-                    number == 0
-                            ? ConfigRevision.NONE
-                            : ConfigRevision.decode(firstItem(lastRevision).path("value").asText())
-                                    .orElse(null);
-            ConfigRevision content =
-                    baseRevision == 0 || (baseRevision < 0 && number == 0)
-                            ? ConfigRevision.NONE
-                            : ConfigRevision.decode(firstItem(base).path("value").asText())
-                                    .orElse(null);
-            if (previous == null || content == null) {
-                return refused(
-                        "no-revision",
-                        "the record has no revision " + (previous == null ? number : baseRevision));
-            }
-            Map<String, Optional<String>> differences =
-                    new TreeMap<>(content.differenceFrom(previous));
-            changes.forEach((field, value) -> differences.put(field, Optional.ofNullable(value)));
-            ConfigRevision next = previous.next(differences);
-            if (next.findError().isPresent()) {
-                return refused("wrong", next.findError().get());
-            }
-            if (next.contentDigest().equals(previous.contentDigest())) {
-                return refused("nothing-new", "revision " + number + " says so already");
-            }
-            List<Mutation> mutations =
-                    new ArrayList<>(
-                            List.of(
-                                    Mutation.put(
-                                            LATEST_REVISION_KEY, String.valueOf(next.number())),
-                                    Mutation.put(
-                                            ConfigRevision.key(next.number()), next.encode())));
-            if (isImmediate) {
-                mutations.add(Mutation.put(RolloutTask.IMMEDIATE_PREFIX + next.number(), "1"));
-            }
-            StoreClient.Outcome created =
-                    transact(
-                            client,
-                            List.of(
-                                    new Precondition(
-                                            LATEST_REVISION_KEY,
-                                            firstItem(latest).path("revision").asLong()),
-                                    new Precondition(ConfigRevision.key(next.number()), 0)),
-                            mutations,
-                            timeoutSeconds);
-            return created.isDone()
-                    ? new StoreClient.Outcome("done", created.answer().put("made", next.number()))
-                    : created;
-        }
-
-        private Map<String, String> parseChanges() {
-            Map<String, String> changes = new TreeMap<>();
-            for (String field : removedFields.split(",")) {
-                if (!field.isEmpty()) {
-                    changes.put(field, null);
-                }
-            }
-            for (String argument : arguments) {
-                int equals = argument.indexOf('=');
-                if (equals < 1) {
-                    throw new ParameterException("wanted: revise FIELD=VALUE ..., not " + argument);
-                }
-                changes.put(argument.substring(0, equals), argument.substring(equals + 1));
-            }
-            if (changes.isEmpty() && baseRevision < 0) {
-                throw new ParameterException(
-                        "wanted: revise FIELD=VALUE ..., --remove or --back-to");
-            }
-            return changes;
-        }
-
-        @Override
-        void printAnswer(ObjectNode answer) {
-            System.out.println("made revision " + answer.path("made").asText());
-        }
-    }
-
     @Parameters(
             commandDescription = "List the configuration revisions, and the state of the rollout")
     private static final class ListRevisions extends FleetCommands.MultiCallCommand {
--- a/hosted/src/main/java/embershift/hosted/RolloutTask.java
+++ b/hosted/src/main/java/embershift/hosted/RolloutTask.java
@@ -39,12 +39,18 @@
     static final String STATE_PREFIX = "state/";
     static final String RESTART_REQUEST_PREFIX = "release/wanted/";
     static final String SHUT_OUT_MARK = "by-rollout";
+
+    /**
+     * What a new lease holder reads, in this order: the marks of immediate revisions, which are
+     * below "rollout/", after the revisions, so that none is known without its mark.
+     */
     private static final List<String> RESTORED_PREFIXES =
             List.of(
                     REVISION_PREFIX,
                     "rollout/",
                     NodeConnections.NODE_PREFIX,
                     NodeConnections.SHUT_OUT_PREFIX);
+
     private static final double READ_TIMEOUT_SECONDS = 3;
     private static final double STATE_WRITE_SECONDS = 0.5;
     private static final double COMPACTION_SECONDS = 10;
@@ -55,9 +61,6 @@
 
     private ConfigRollout rollout;
 
-    /** Reads of the store still to complete; before that this lease holder may not do anything. */
-    private int pendingReads;
-
     private final Map<String, KeyValue> restored = new TreeMap<>();
     private final Map<String, String> writtenStates = new HashMap<>();
     private double statesWrittenAt;
@@ -78,22 +81,28 @@
         knownRevisions.clear();
         writtenStates.clear();
         appliedStoreRevision = -1;
-        pendingReads = RESTORED_PREFIXES.size();
-        RESTORED_PREFIXES.forEach(prefix -> readPrefix(prefix, token().number()));
+        readPrefixes(RESTORED_PREFIXES, token().number());
     }
 
-    /** Reads through the leader, because this instance's own replica may be behind. */
-    private void readPrefix(String prefix, long tokenNumber) {
+    /**
+     * Reads these prefixes one after the other, through the leader, because this instance's own
+     * replica may be behind. Only then this lease holder may do anything.
+     */
+    private void readPrefixes(List<String> prefixes, long tokenNumber) {
+        if (prefixes.isEmpty()) {
+            startRollout();
+            return;
+        }
         tasks.queryClient()
                 .call(
-                        StoreClient.newCall("list").put("prefix", prefix),
+                        StoreClient.newCall("list").put("prefix", prefixes.get(0)),
                         READ_TIMEOUT_SECONDS,
                         outcome -> {
                             if (!holdsLease() || token().number() != tokenNumber) {
                                 return;
                             }
                             if (!outcome.isDone()) {
-                                readPrefix(prefix, tokenNumber);
+                                readPrefixes(prefixes, tokenNumber);
                                 return;
                             }
                             for (JsonNode element : outcome.answer().path("items")) {
@@ -106,18 +115,18 @@
                                                 null);
                                 restored.put(item.key(), item);
                             }
-                            if (--pendingReads == 0) {
-                                rollout =
-                                        new ConfigRollout(tasks.settings().rolloutSettings(), this);
-                                KeyValue stage = restored.get(STAGE_KEY);
-                                rollout.restore(
-                                        now(), Optional.ofNullable(stage).map(KeyValue::value));
-                                applyItems(restored.values());
-                                tasks.nodes().connected().forEach(this::nodeReported);
-                            }
+                            readPrefixes(prefixes.subList(1, prefixes.size()), tokenNumber);
                         });
     }
 
+    private void startRollout() {
+        rollout = new ConfigRollout(tasks.settings().rolloutSettings(), this);
+        KeyValue stage = restored.get(STAGE_KEY);
+        rollout.restore(now(), Optional.ofNullable(stage).map(KeyValue::value));
+        applyItems(restored.values());
+        tasks.nodes().connected().forEach(this::nodeReported);
+    }
+
     private void applyItems(Collection<KeyValue> items) {
         for (KeyValue item : items) {
             if (item.key().startsWith(REVISION_PREFIX)) {
--- a/rig/src/main/java/embershift/rig/world/FleetWorld.java
+++ b/rig/src/main/java/embershift/rig/world/FleetWorld.java
@@ -754,6 +754,9 @@
         int kind = chance.nextInt(10);
         if (!good && kind == 0) {
             changes.put(POISON, "1");
+            if (chance.nextBoolean()) {
+                hurried.add(last.number() + 1);
+            }
         } else if (!good && kind == 1) {
             changes.put(CRASH, "1");
         } else if (kind < 4) {
--- a/rig/src/test/java/embershift/rig/FleetProcessesTest.java
+++ b/rig/src/test/java/embershift/rig/FleetProcessesTest.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import org.testng.ITestResult;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
@@ -171,6 +172,25 @@
         assertTrue(refused.text().contains("REFUSED"), refused.text());
     }
 
+    /** Guards against a ban that inherits what nodes have refused, and is refused with it. */
+    @Test
+    public void immediateRevisionStartsFromTheLastGoodOneAndNotFromAHaltedOne() throws Exception {
+        begin(3, 2, "");
+        revise(0, "sockets=900");
+        FleetSite.await("floor", PATIENCE, () -> "1".equals(site.get("rollout/floor")));
+        revise(0, "colour=blue");
+        FleetSite.await("halt", PATIENCE, () -> stageIs("2 HALTED 1"));
+        FleetSite.Said made = site.fleet("revise", "--now", "out/h1=worn");
+        assertTrue(
+                made.text().contains("made revision 3 on revision 1; revision 2 stays halted"),
+                made.text());
+        FleetSite.await("floor", PATIENCE, () -> "3".equals(site.get("rollout/floor")));
+        long banned = System.nanoTime();
+        assertTrue(site.tunnel("n1").startsWith("UP") && site.tunnel("n2").startsWith("UP"));
+        assertEquals(site.setups("h1", null, banned), 0);
+        assertEquals(site.list("out/"), Map.of());
+    }
+
     @Test
     public void olderProcessOfANameIsOutEverywhereAndNothingOfItIsTakenAnyMore() throws Exception {
         begin(2, 2, "");
