Let an aborted release come to its end before the next one begins

Callers saw: `release abort` and then `release start` were answered "done" while a part was being started anew, and the rest of the aborted release was started anew all the same, then the next one's.

Cause: start deleted the wish and replaced the plan of a release that was under way; the task took a missing wish for "go". A pause, go or halt wrote over an abort.

Change: the number of an aborted release has a key of its own; a release started behind one that is under way waits in release/next until the last step of that is recorded, and takes its place by a conditional change of any instance; a task whose plan was replaced aborts; a step acts once the local copy of the store shows it as begun.

--- a/fleet/src/main/java/embershift/fleet/restart/RollingRestart.java
+++ b/fleet/src/main/java/embershift/fleet/restart/RollingRestart.java
@@ -156,15 +156,15 @@
                 .forEach(target -> targets.put(target, new TargetProgress(mayHaveStarted)));
     }
 
-    /** Sets what operators want: {@code go}, {@code pause} or {@code abort}, which is final. */
-    public void setOperatorIntent(double now, String intent) {
-        boolean wantsPause = intent.equals("pause");
+    /** Sets what operators want. */
+    public void setOperatorIntent(double now, OperatorIntent intent) {
+        boolean wantsPause = intent == OperatorIntent.PAUSE;
         if (isPaused && !wantsPause) {
             isHalted = false;
             lastProgressAt = now;
         }
         isPaused = wantsPause;
-        isAborting |= intent.equals("abort");
+        isAborting |= intent == OperatorIntent.ABORT;
     }
 
     /** Handles the state of an id as reported by the process manager. */
--- a/fleet/src/main/java/embershift/fleet/restart/RollingRestartPlan.java
+++ b/fleet/src/main/java/embershift/fleet/restart/RollingRestartPlan.java
@@ -29,6 +29,15 @@
     /** The key of the operators' intent: {@code go}, {@code pause} or {@code abort}. */
     public static final String INTENT_KEY = "release/wish";
 
+    /**
+     * The key with the store revision of the plan that was aborted last. Unlike the intent, it is
+     * not overwritten by a later pause.
+     */
+    public static final String ABORTED_KEY = "release/aborted";
+
+    /** The key of the plan that follows once the present one has come to its end. */
+    public static final String NEXT_KEY = "release/next";
+
     /** The key of the restart's state, for operators. */
     public static final String STATE_KEY = "release/state";
 
--- a/hosted/src/main/java/embershift/hosted/AdminCommands.java
+++ b/hosted/src/main/java/embershift/hosted/AdminCommands.java
@@ -1,13 +1,11 @@
 package embershift.hosted;
 
-import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import embershift.door.JsonMessages;
 import embershift.fleet.lease.TaskId;
-import embershift.fleet.restart.RollingRestartPlan;
 import embershift.fleet.rollout.ConfigRevision;
 import embershift.fleet.store.Mutation;
 import embershift.fleet.store.Precondition;
@@ -35,7 +33,7 @@
         commands.put("shut-out", new ShutOutNode());
         commands.put("let-in", new AdmitNode());
         commands.put("forget", new ForgetNode());
-        commands.put("release", new ManageRelease());
+        commands.put("release", new ReleaseCommand());
         return commands;
     }
 
@@ -331,114 +329,4 @@
                             timeoutSeconds);
         }
     }
-
-    @Parameters(
-            commandDescription =
-                    "start NAME TARGET ... | show | go | pause | abort: restart hosts and nodes in steps")
-    private static final class ManageRelease extends FleetCommands.MultiCallCommand {
-        @Parameter(names = "--size", description = "Targets that may be unavailable at a time")
-        int maxUnavailable = 1;
-
-        @Parameter(
-                names = "--service",
-                description = "Least share of tunnels that must be opened, of those not declined")
-        double minServiceRate = 0.9;
-
-        @Parameter(
-                names = "--warm",
-                description = "Seconds that a target serves before it counts as restarted")
-        double warmUpSeconds = 5;
-
-        @Parameter(
-                names = "--patience",
-                description = "Seconds without progress after which the release pauses by itself")
-        double patienceSeconds = 60;
-
-        @Override
-        StoreClient.Outcome execute(StoreClient client) {
-            String action = arguments.isEmpty() ? "" : arguments.get(0);
-            return switch (action) {
-                case "start" -> start(client);
-                case "show" -> listKeys(client, "release/");
-                case "go", "pause", "abort" ->
-                        client.call(
-                                StoreClient.newPut(RollingRestartPlan.INTENT_KEY, action, -1),
-                                timeoutSeconds);
-                default ->
-                        throw new ParameterException(
-                                "wanted: release start NAME host:H|node:N ..., show, go, pause or abort");
-            };
-        }
-
-        private StoreClient.Outcome start(StoreClient client) {
-            List<RollingRestartPlan.Target> targets = new ArrayList<>();
-            for (String argument :
-                    arguments.subList(Math.min(2, arguments.size()), arguments.size())) {
-                if (!argument.matches("(host|node):.+")) {
-                    throw new ParameterException(
-                            "a target is host:NAME or node:NAME, not " + argument);
-                }
-                targets.add(
-                        new RollingRestartPlan.Target(
-                                argument.startsWith("node:"), argument.substring(5)));
-            }
-            RollingRestartPlan plan =
-                    new RollingRestartPlan(
-                            arguments.size() > 1 ? arguments.get(1) : "",
-                            maxUnavailable,
-                            minServiceRate,
-                            warmUpSeconds,
-                            patienceSeconds,
-                            targets);
-            if (plan.findError().isPresent()) {
-                throw new ParameterException(plan.findError().get());
-            }
-            StoreClient.Outcome stored = listKeys(client, "release/");
-            if (!stored.isDone()) {
-                return stored;
-            }
-            long revision = 0;
-            for (JsonNode item : stored.answer().path("items")) {
-                String value = item.path("value").asText();
-                if (item.path("key").asText().equals(RollingRestartPlan.KEY)) {
-                    revision = item.path("revision").asLong();
-                    RollingRestartPlan storedPlan = RollingRestartPlan.decode(value).orElse(null);
-                    if (storedPlan != null && storedPlan.name().equals(plan.name())) {
-                        return refused(
-                                "name",
-                                "a release "
-                                        + plan.name()
-                                        + " was there already: its steps are known by that name");
-                    }
-                }
-            }
-            return transact(
-                    client,
-                    List.of(new Precondition(RollingRestartPlan.KEY, revision)),
-                    List.of(
-                            Mutation.put(RollingRestartPlan.KEY, plan.encode()),
-                            Mutation.delete(RollingRestartPlan.INTENT_KEY),
-                            Mutation.put(
-                                    RollingRestartPlan.STATE_KEY,
-                                    plan.name() + " waits for an owner")),
-                    timeoutSeconds);
-        }
-
-        @Override
-        void printAnswer(ObjectNode answer) {
-            answer.path("items")
-                    .forEach(
-                            item ->
-                                    System.out.println(
-                                            item.path("key").asText()
-                                                    + ": "
-                                                    + item.path("value")
-                                                            .asText()
-                                                            .strip()
-                                                            .replace("\n", ", ")));
-            if (!answer.has("items")) {
-                System.out.println("done");
-            }
-        }
-    }
 }
--- a/hosted/src/main/java/embershift/hosted/RollingRestartTask.java
+++ b/hosted/src/main/java/embershift/hosted/RollingRestartTask.java
@@ -43,6 +43,7 @@
     private static final double MAX_CALL_SECONDS = 1;
 
     private static final int MAX_STEP_ATTEMPTS = 6;
+    private static final double REPLACE_TIMEOUT_SECONDS = 1.5;
 
     /** A node's totals of opened and failed tunnels at a time. */
     private record TunnelCounts(double at, long opened, long failed) {}
@@ -57,6 +58,7 @@
     private final Map<String, Double> ejectionsSentAt = new HashMap<>();
     private final Map<String, Deque<TunnelCounts>> countsByNode = new HashMap<>();
     private String writtenState = "";
+    private boolean isReplacingPlan;
 
     /**
      * Whether this holder completed the previous step under its present fencing token, so that
@@ -74,20 +76,43 @@
      */
     @Override
     void prepare() {
-        KeyValue item = tasks.store().find(RollingRestartPlan.KEY).orElse(null);
-        long revision = item == null ? 0 : item.revision();
-        if (revision != planRevision
+        startNextPlanIfDue();
+        long number = storedRelease().number();
+        if (number != planRevision
                 && (leaseHolder() == null || !leaseHolder().isHeldOrReleasing())) {
-            planRevision = revision;
-            plan = item == null ? null : RollingRestartPlan.decode(item.value()).orElse(null);
+            planRevision = number;
+            plan = storedRelease().plan().orElse(null);
             if (plan != null) {
                 createLeaseHolder(
-                        new TaskPlan(plan.name() + "-" + revision, plan.steps(), MAX_CALL_SECONDS),
+                        StoredRelease.taskPlan(plan, number, MAX_CALL_SECONDS),
                         tasks.settings().leaseSettings(3600, MAX_STEP_ATTEMPTS));
             }
         }
     }
 
+    private StoredRelease storedRelease() {
+        return new StoredRelease(tasks.store()::find);
+    }
+
+    /**
+     * Replaces a release that has come to its end by the one that waits for that. Needs no lease:
+     * of the instances that attempt it, one finds the store as it was.
+     */
+    private void startNextPlanIfDue() {
+        StoredRelease release = storedRelease();
+        Optional<RollingRestartPlan> next = release.nextPlan().flatMap(RollingRestartPlan::decode);
+        if (isReplacingPlan || next.isEmpty() || release.isUnderWay()) {
+            return;
+        }
+        isReplacingPlan = true;
+        tasks.commandClient()
+                .call(
+                        AsyncStoreClient.newTransaction(
+                                release.isUnchanged(), StoredRelease.replaceBy(next.get())),
+                        REPLACE_TIMEOUT_SECONDS,
+                        outcome -> isReplacingPlan = false);
+    }
+
     @Override
     void leaseAcquired() {
         manager =
@@ -131,14 +156,12 @@
     @Override
     void doWork() {
         double now = now();
-        if (activeStep != null) {
-            KeyValue intent = tasks.store().find(RollingRestartPlan.INTENT_KEY).orElse(null);
-            // An intent for an earlier release does not apply.
-            activeStep.setOperatorIntent(
-                    now,
-                    intent == null || intent.revision() < planRevision
-                            ? "go"
-                            : intent.value().split(" ", 2)[0]);
+        StoredRelease release = storedRelease();
+        boolean isReplaced = release.number() != planRevision;
+        // Once this instance's replica shows the step as begun, it also shows an abort that was
+        // answered before that.
+        if (activeStep != null && (isReplaced || release.isStepBegun(plan, stepNumber))) {
+            activeStep.setOperatorIntent(now, release.intentFor(planRevision));
             activeStep.tick(now);
         }
         if (activeStep != null) {
--- a/rig/src/main/java/embershift/rig/world/ReleaseWorld.java
+++ b/rig/src/main/java/embershift/rig/world/ReleaseWorld.java
@@ -3,6 +3,7 @@
 import embershift.fleet.lease.FencingGuard;
 import embershift.fleet.lease.FencingToken;
 import embershift.fleet.lease.TaskId;
+import embershift.fleet.restart.OperatorIntent;
 import embershift.fleet.restart.RollingRestart;
 import embershift.fleet.restart.RollingRestart.RestartState;
 import embershift.fleet.restart.RollingRestartPlan;
@@ -37,7 +38,7 @@
     private FencingToken latest = FencingToken.NONE;
     private int step;
     private boolean done;
-    private String wish = "go";
+    private OperatorIntent wish = OperatorIntent.GO;
     // The manager.
     private final Map<String, RestartState> states = new HashMap<>();
     private final Map<String, RollingRestartPlan.Target> byId = new HashMap<>();
@@ -359,13 +360,13 @@
         @Override
         public void halted(String why) {
             count("halts");
-            if (latest.equals(fence) && !wish.equals("abort")) {
-                wish = "pause";
+            if (latest.equals(fence) && wish != OperatorIntent.ABORT) {
+                wish = OperatorIntent.PAUSE;
                 time.in(
                         5,
                         () -> {
-                            if (wish.equals("pause")) {
-                                wish = "go";
+                            if (wish == OperatorIntent.PAUSE) {
+                                wish = OperatorIntent.GO;
                             }
                         });
             }
@@ -400,12 +401,16 @@
                         }
                         case 4 -> {
                             if (chance.nextInt(6) == 0) {
-                                wish = "abort";
-                            } else if (!wish.equals("abort")) {
-                                wish = "pause";
+                                wish = OperatorIntent.ABORT;
+                            } else if (wish != OperatorIntent.ABORT) {
+                                wish = OperatorIntent.PAUSE;
                                 time.in(
                                         3 * chance.nextDouble(),
-                                        () -> wish = wish.equals("abort") ? wish : "go");
+                                        () ->
+                                                wish =
+                                                        wish == OperatorIntent.ABORT
+                                                                ? wish
+                                                                : OperatorIntent.GO);
                             }
                         }
                         default -> {}
@@ -424,11 +429,11 @@
                 (id, part) -> {
                     RestartState state = states.get(id);
                     if (state != RestartState.DONE
-                            && !(wish.equals("abort") && state == RestartState.CANCELLED)) {
+                            && !(wish == OperatorIntent.ABORT && state == RestartState.CANCELLED)) {
                         broken(id + " is " + state + " at the end");
                     }
                 });
-        count(wish.equals("abort") ? "aborted" : "done");
+        count(wish == OperatorIntent.ABORT ? "aborted" : "done");
         return report();
     }
 }
--- a/rig/src/test/java/embershift/rig/FleetProcessesTest.java
+++ b/rig/src/test/java/embershift/rig/FleetProcessesTest.java
@@ -7,6 +7,7 @@
 import embershift.rig.process.FleetPlay;
 import embershift.rig.process.FleetSite;
 import embershift.rig.process.Instances;
+import embershift.rig.process.ManagerStand;
 import embershift.rig.process.Program;
 import embershift.rig.process.Ways;
 import java.io.IOException;
@@ -16,6 +17,7 @@
 import java.util.Map;
 import org.testng.ITestResult;
 import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -350,6 +352,49 @@
         }
     }
 
+    @DataProvider
+    public Object[][] ownersAfterAbort() {
+        return new Object[][] {{"lives"}, {"is killed"}};
+    }
+
+    /** Guards against an aborted release that goes on once the next one is started. */
+    @Test(dataProvider = "ownersAfterAbort")
+    public void abortedReleaseDoesNotGoOnBehindTheNextOne(String owner) throws Exception {
+        begin(2, 4, "");
+        for (String node : List.of("n1", "n2")) {
+            site.awaitState(node, "CURRENT");
+        }
+        try (FleetSite.Clients clients = site.new Clients(0.1)) {
+            assertEquals(
+                    site.fleet(
+                                    "release", "start", "spring", "host:h1", "host:h2", "host:h3",
+                                    "--warm", "3")
+                            .status(),
+                    0);
+            FleetSite.await("the first part", PATIENCE, () -> !site.manager.events().isEmpty());
+            assertEquals(site.fleet("release", "abort").status(), 0);
+            FleetSite.Said summer = site.fleet("release", "start", "summer", "host:h4");
+            assertEquals(summer.status(), 0, summer.text());
+            if (owner.equals("is killed")) {
+                site.instances.kill(site.awaitOwner("release", null));
+            }
+            FleetSite.await(
+                    "the end of it",
+                    2 * PATIENCE,
+                    () -> "summer done".equals(site.get("release/state")));
+            List<String> restarted =
+                    site.manager.events().stream()
+                            .filter(ManagerStand.Event::away)
+                            .map(ManagerStand.Event::part)
+                            .toList();
+            assertEquals(restarted, List.of("host h1", "host h4"));
+            assertTrue(
+                    summer.text().contains("waits for the end of release spring"), summer.text());
+            assertTrue(clients.answers().getOrDefault("UP", 0) > 10, clients.answers().toString());
+            assertEquals(site.manager.mostAway(), 1, site.manager.events().toString());
+        }
+    }
+
     @Test
     public void ownerThatNodesCannotHearGivesTheDutyUpAndOneWithoutTheRecordDoesNothing()
             throws Exception {
