End membership commands with a lost answer as done or unknown, not refused

Cause: StoreClient.callWithRetries returned the refusal of a repeated call also for calls that carry no number.

--- a/hosted/src/main/java/embershift/hosted/FleetCommands.java
+++ b/hosted/src/main/java/embershift/hosted/FleetCommands.java
@@ -339,52 +339,6 @@
         }
     }
 
-    @Parameters(
-            commandDescription =
-                    "Create a group whose only member is this instance, which has an empty folder")
-    private static final class CreateGroup extends Command {
-        @Override
-        ObjectNode newCall() {
-            return StoreClient.newCall("found");
-        }
-    }
-
-    @Parameters(
-            commandDescription =
-                    "ADDRESS: add the instance there to the group once it has caught up")
-    private static final class AddMember extends Command {
-        @Parameter(
-                names = "--learner",
-                description = "Replicate to the instance without a vote for it")
-        boolean isLearner;
-
-        @Override
-        ObjectNode newCall() {
-            requireArguments(1, "add ADDRESS");
-            return StoreClient.newCall("add")
-                    .put("address", arguments.get(0))
-                    .put("learner", isLearner);
-        }
-    }
-
-    @Parameters(commandDescription = "NAME: remove an instance from the group")
-    private static final class RemoveMember extends Command {
-        @Override
-        ObjectNode newCall() {
-            requireArguments(1, "remove NAME");
-            return StoreClient.newCall("remove").put("name", arguments.get(0));
-        }
-    }
-
-    @Parameters(commandDescription = "NAME: transfer the leadership to this instance")
-    private static final class TransferLeadership extends Command {
-        @Override
-        ObjectNode newCall() {
-            requireArguments(1, "transfer NAME");
-            return StoreClient.newCall("transfer").put("name", arguments.get(0));
-        }
-    }
-
     /** A command that makes several calls, and ends like one call. */
     abstract static class MultiCallCommand extends Command {
 
@@ -428,10 +382,7 @@
         commands.put("put", new Put());
         commands.put("delete", new Delete());
         commands.put("watch", new Watch());
-        commands.put("found", new CreateGroup());
-        commands.put("add", new AddMember());
-        commands.put("remove", new RemoveMember());
-        commands.put("transfer", new TransferLeadership());
+        MembershipCommands.all().forEach(commands::put);
         AdminCommands.all().forEach(commands::put);
         commands.put("audit", new AuditCommand());
         Main.Help help = new Main.Help();
--- a/hosted/src/main/java/embershift/hosted/StoreClient.java
+++ b/hosted/src/main/java/embershift/hosted/StoreClient.java
@@ -12,6 +12,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Supplier;
 
 /**
@@ -21,6 +22,10 @@
 public final class StoreClient implements AutoCloseable {
 
     /** Seconds that a call waits for one instance before it tries the next one. */
+    /** Calls with an effect that carry no number by which a repeated one is recognized. */
+    private static final Set<String> UNNUMBERED_CHANGES =
+            Set.of("found", "add", "remove", "transfer");
+
     private static final double INSTANCE_TIMEOUT_SECONDS = 0.7;
 
     /** Seconds until a call is retried after a failure or a temporary refusal. */
@@ -149,10 +154,14 @@
                     mayHaveRun = true;
                 } else if (!reason.equals("not-leader") && !reason.equals("busy")) {
                     // The end of the session does not tell whether an earlier attempt was
-                    // carried out before.
+                    // carried out before. Neither does the refusal of a call without a number: it
+                    // may be the effect of the earlier attempt that this one was refused for.
                     boolean isUndecided =
                             mayHaveRun
-                                    && (reason.equals("no-session") || reason.equals("forgotten"));
+                                    && (reason.equals("no-session")
+                                            || reason.equals("forgotten")
+                                            || UNNUMBERED_CHANGES.contains(
+                                                    call.path("call").asText()));
                     return new Outcome(isUndecided ? "unknown" : "refused", answer);
                 }
                 if (!reason.equals("busy")) {
