--- a/hosted/src/main/java/embershift/hosted/CreateRevisionCommand.java
+++ b/hosted/src/main/java/embershift/hosted/CreateRevisionCommand.java
@@ -29,11 +29,6 @@
 
     private static final String ROLLOUT_PREFIX = "rollout/";
 
-    /** Reason of a refusal because the store has changed since it was read. */
-    private static final String PRECONDITION_FAILED = "condition";
-
-    private static final int MAX_ATTEMPTS = 5;
-
     @Parameter(names = "--remove", description = "Fields to remove, separated by commas")
     private String removedFields = "";
 
@@ -83,13 +78,7 @@
     @Override
     StoreClient.Outcome execute(StoreClient client) {
         Map<String, Optional<String>> changes = parseChanges();
-        StoreClient.Outcome outcome = createRevision(client, changes);
-        for (int attempt = 1;
-                attempt < MAX_ATTEMPTS && outcome.reason().equals(PRECONDITION_FAILED);
-                attempt++) {
-            outcome = createRevision(client, changes);
-        }
-        return outcome;
+        return retryOnConflict(() -> createRevision(client, changes));
     }
 
     private StoreClient.Outcome createRevision(
--- a/hosted/src/main/java/embershift/hosted/FleetCommands.java
+++ b/hosted/src/main/java/embershift/hosted/FleetCommands.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /**
  * The administrators' commands. Each ends as done (exit status 0), refused (1) or unknown (3)
@@ -342,6 +343,11 @@
     /** A command that makes several calls, and ends like one call. */
     abstract static class MultiCallCommand extends Command {
 
+        /** Reason of a refusal because the store has changed since it was read. */
+        private static final String PRECONDITION_FAILED = "condition";
+
+        private static final int MAX_ATTEMPTS = 5;
+
         @Override
         final ObjectNode newCall() {
             throw new IllegalStateException("a command of several calls has no single one");
@@ -367,6 +373,20 @@
             return client.call(StoreClient.newCall("list").put("prefix", prefix), timeoutSeconds);
         }
 
+        /**
+         * Makes a change under conditions on what it was made from; again, from the reading on,
+         * where the store has changed in between.
+         */
+        static StoreClient.Outcome retryOnConflict(Supplier<StoreClient.Outcome> readAndChange) {
+            StoreClient.Outcome outcome = readAndChange.get();
+            for (int attempt = 1;
+                    attempt < MAX_ATTEMPTS && outcome.reason().equals(PRECONDITION_FAILED);
+                    attempt++) {
+                outcome = readAndChange.get();
+            }
+            return outcome;
+        }
+
         static StoreClient.Outcome refused(String reason, String text) {
             return new StoreClient.Outcome(
                     "refused", JsonMessages.newObject().put("reason", reason).put("text", text));
--- a/hosted/src/main/java/embershift/hosted/ReleaseCommand.java
+++ b/hosted/src/main/java/embershift/hosted/ReleaseCommand.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 /** The command that starts, shows, pauses, resumes and aborts releases. */
 @Parameters(
@@ -24,11 +25,6 @@
     private static final String USAGE =
             "wanted: release start NAME host:H|node:N ..., show, go, pause or abort";
 
-    /** Reason of a refusal because the store has changed since it was read. */
-    private static final String PRECONDITION_FAILED = "condition";
-
-    private static final int MAX_ATTEMPTS = 5;
-
     @Parameter(names = "--size", description = "Targets that may be unavailable at a time")
     private int maxUnavailable = 1;
 
@@ -64,30 +60,19 @@
                 StoreClient.newPut(RollingRestartPlan.INTENT_KEY, intent, -1), timeoutSeconds);
     }
 
-    /** A change that depends on the stored release. */
-    private interface Change {
-        StoreClient.Outcome attempt(StoredRelease release);
-    }
-
-    /** Reads the stored release and changes it, again if it has changed in between. */
-    private StoreClient.Outcome readAndChange(StoreClient client, Change change) {
-        StoreClient.Outcome outcome = null;
-        for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-            StoreClient.Outcome release = listKeys(client, "release/");
-            StoreClient.Outcome progress =
-                    release.isDone() ? getKey(client, StoredRelease.TASK.progressKey()) : release;
-            if (!progress.isDone()) {
-                return progress;
-            }
-            Map<String, KeyValue> items = new HashMap<>();
-            release.answer().path("items").forEach(item -> add(items, item));
-            progress.answer().path("items").forEach(item -> add(items, item));
-            outcome = change.attempt(new StoredRelease(key -> Optional.ofNullable(items.get(key))));
-            if (!outcome.reason().equals(PRECONDITION_FAILED)) {
-                break;
-            }
+    /** Reads the stored release and makes a change that depends on it. */
+    private StoreClient.Outcome readAndChange(
+            StoreClient client, Function<StoredRelease, StoreClient.Outcome> change) {
+        StoreClient.Outcome release = listKeys(client, "release/");
+        StoreClient.Outcome progress =
+                release.isDone() ? getKey(client, StoredRelease.TASK.progressKey()) : release;
+        if (!progress.isDone()) {
+            return progress;
         }
-        return outcome;
+        Map<String, KeyValue> items = new HashMap<>();
+        release.answer().path("items").forEach(item -> add(items, item));
+        progress.answer().path("items").forEach(item -> add(items, item));
+        return change.apply(new StoredRelease(key -> Optional.ofNullable(items.get(key))));
     }
 
     private static void add(Map<String, KeyValue> items, JsonNode item) {
@@ -103,25 +88,23 @@
     }
 
     private StoreClient.Outcome abort(StoreClient client) {
-        return readAndChange(
-                client,
-                release ->
-                        client.call(
-                                AsyncStoreClient.newTransaction(
-                                        release.isSameNumber(),
-                                        List.of(
-                                                Mutation.put(
-                                                        RollingRestartPlan.ABORTED_KEY,
-                                                        String.valueOf(release.number())),
-                                                Mutation.put(
-                                                        RollingRestartPlan.INTENT_KEY,
-                                                        OperatorIntent.ABORT.encode()))),
-                                timeoutSeconds));
+        return retryOnConflict(() -> readAndChange(client, release -> abort(client, release)));
+    }
+
+    private StoreClient.Outcome abort(StoreClient client, StoredRelease release) {
+        List<Mutation> mutations =
+                List.of(
+                        Mutation.put(
+                                RollingRestartPlan.ABORTED_KEY, String.valueOf(release.number())),
+                        Mutation.put(RollingRestartPlan.INTENT_KEY, OperatorIntent.ABORT.encode()));
+        return client.call(
+                AsyncStoreClient.newTransaction(release.isSameNumber(), mutations), timeoutSeconds);
     }
 
     private StoreClient.Outcome start(StoreClient client) {
         RollingRestartPlan plan = parsePlan();
-        return readAndChange(client, release -> start(client, plan, release));
+        return retryOnConflict(
+                () -> readAndChange(client, release -> start(client, plan, release)));
     }
 
     private StoreClient.Outcome start(
