Refuse a revision as nothing new only if it equals the latest one

The new choice of a base compared the result with the base: `--remove` of a field that only a revision not yet rolled out has was refused as nothing new, while that revision went on. It is compared with the latest one again, as before.

--- a/hosted/src/main/java/embershift/hosted/CreateRevisionCommand.java
+++ b/hosted/src/main/java/embershift/hosted/CreateRevisionCommand.java
@@ -112,9 +112,9 @@
         if (next.findError().isPresent()) {
             return refused("wrong", next.findError().get());
         }
-        ConfigRevision compared = namedBase >= 0 ? previous.get() : content.get();
-        if (next.contentDigest().equals(compared.contentDigest())) {
-            return refused("nothing-new", "revision " + compared.number() + " says so already");
+        if (next.contentDigest().equals(previous.get().contentDigest())) {
+            return refused(
+                    "nothing-new", "revision " + previous.get().number() + " says so already");
         }
         return store(client, stored, next, base);
     }
