Read lists in pages, as all items together may exceed a frame

Cause: list answered with all items in one frame, and frames over 4 MiB are refused by their readers. An owner of rollout whose revisions were longer together read again and again and never began.

Callers that don't ask are answered as before.

A change of owner with such a store was not played.

--- a/hosted/src/main/java/embershift/hosted/CallHandler.java
+++ b/hosted/src/main/java/embershift/hosted/CallHandler.java
@@ -83,7 +83,12 @@
                     replica.read(now, connection.registerCall(listener), call.path("key").asText());
             case "list" ->
                     replica.readPrefix(
-                            now, connection.registerCall(listener), call.path("prefix").asText());
+                            now,
+                            connection.registerCall(
+                                    call.path("paged").asBoolean()
+                                            ? pagedListener(connection, id, call)
+                                            : listener),
+                            call.path("prefix").asText());
             case "watch" ->
                     replica.watch(
                             now,
@@ -126,6 +131,21 @@
         }
     }
 
+    /** Answers with the items after the call's {@code after} key that fit into one answer. */
+    private static ResultListener pagedListener(
+            Instance.InboundConnection connection, long id, ObjectNode call) {
+        return (callId, result) -> {
+            connection.callAnswered(callId);
+            if (!(result instanceof CallResult.Found found)) {
+                connection.sendAnswer(answer(id, result));
+                return;
+            }
+            ListPage page = ListPage.after(call.path("after").asText(), found.keyValues());
+            CallResult items = new CallResult.Found(found.revision(), page.items());
+            connection.sendAnswer(answer(id, items).put("more", page.hasMore()));
+        };
+    }
+
     private static void addMember(
             Instance instance,
             Instance.InboundConnection connection,
--- a/hosted/src/main/java/embershift/hosted/RolloutTask.java
+++ b/hosted/src/main/java/embershift/hosted/RolloutTask.java
@@ -81,28 +81,33 @@
         knownRevisions.clear();
         writtenStates.clear();
         appliedStoreRevision = -1;
-        readPrefixes(RESTORED_PREFIXES, token().number());
+        readPrefixes(RESTORED_PREFIXES, "", token().number());
     }
 
     /**
-     * Reads these prefixes one after the other, through the leader, because this instance's own
-     * replica may be behind. Only then this lease holder may do anything.
+     * Reads these prefixes one after the other and page by page, through the leader, because this
+     * instance's own replica may be behind. Only then this lease holder may do anything.
+     *
+     * @param lastKey the last key that was read of the first prefix, or ""
      */
-    private void readPrefixes(List<String> prefixes, long tokenNumber) {
+    private void readPrefixes(List<String> prefixes, String lastKey, long tokenNumber) {
         if (prefixes.isEmpty()) {
             startRollout();
             return;
         }
         tasks.queryClient()
                 .call(
-                        StoreClient.newCall("list").put("prefix", prefixes.get(0)),
+                        StoreClient.newCall("list")
+                                .put("prefix", prefixes.get(0))
+                                .put("paged", true)
+                                .put("after", lastKey),
                         READ_TIMEOUT_SECONDS,
                         outcome -> {
                             if (!holdsLease() || token().number() != tokenNumber) {
                                 return;
                             }
                             if (!outcome.isDone()) {
-                                readPrefixes(prefixes, tokenNumber);
+                                readPrefixes(prefixes, lastKey, tokenNumber);
                                 return;
                             }
                             for (JsonNode element : outcome.answer().path("items")) {
@@ -115,7 +120,11 @@
                                                 null);
                                 restored.put(item.key(), item);
                             }
-                            readPrefixes(prefixes.subList(1, prefixes.size()), tokenNumber);
+                            if (StoreClient.hasMorePages(outcome)) {
+                                readPrefixes(prefixes, StoreClient.lastKey(outcome), tokenNumber);
+                            } else {
+                                readPrefixes(prefixes.subList(1, prefixes.size()), "", tokenNumber);
+                            }
                         });
     }
 
--- a/hosted/src/main/java/embershift/hosted/StoreClient.java
+++ b/hosted/src/main/java/embershift/hosted/StoreClient.java
@@ -1,5 +1,6 @@
 package embershift.hosted;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import embershift.door.FrameCodec;
@@ -126,7 +127,39 @@
             }
             return outcome;
         }
-        return callWithRetries(call, deadline);
+        return call.path("call").asText().equals("list") && !call.has("paged")
+                ? listAllPages(call, deadline)
+                : callWithRetries(call, deadline);
+    }
+
+    /** Lists all items, page by page: together they may be too long for one answer. */
+    private Outcome listAllPages(ObjectNode call, long deadline) {
+        Outcome page = callWithRetries(call.put("paged", true), deadline);
+        if (!page.isDone()) {
+            return page;
+        }
+        ObjectNode all = page.answer();
+        ArrayNode items = all.withArray("items");
+        while (hasMorePages(page)) {
+            page = callWithRetries(call.put("after", lastKey(page)), deadline);
+            if (!page.isDone()) {
+                return page;
+            }
+            page.answer().path("items").forEach(items::add);
+        }
+        all.remove("more");
+        return new Outcome("done", all);
+    }
+
+    /** Whether further items follow a page of a list. */
+    static boolean hasMorePages(Outcome page) {
+        return page.answer().path("more").asBoolean() && !page.answer().path("items").isEmpty();
+    }
+
+    /** Returns the key of the last item of a page of a list that is not empty. */
+    static String lastKey(Outcome page) {
+        JsonNode items = page.answer().path("items");
+        return items.path(items.size() - 1).path("key").asText();
     }
 
     private Outcome callWithRetries(ObjectNode call, long deadline) {
