Send no ejections of a step that may not act yet

Found by reading. A step that may not act yet does nothing now. FleetProcessesTest: the four cases of releases pass.

--- a/hosted/src/main/java/embershift/hosted/RollingRestartTask.java
+++ b/hosted/src/main/java/embershift/hosted/RollingRestartTask.java
@@ -160,10 +160,11 @@
         boolean isReplaced = release.number() != planRevision;
         // Once this instance's replica shows the step as begun, it also shows an abort that was
         // answered before that.
-        if (activeStep != null && (isReplaced || release.isStepBegun(plan, stepNumber))) {
-            activeStep.setOperatorIntent(now, release.intentFor(planRevision));
-            activeStep.tick(now);
+        if (activeStep == null || !(isReplaced || release.isStepBegun(plan, stepNumber))) {
+            return;
         }
+        activeStep.setOperatorIntent(now, release.intentFor(planRevision));
+        activeStep.tick(now);
         if (activeStep != null) {
             sendEjections(now);
             String waitReason = activeStep.waitReason();
