Let one piece of code find the latest status for all membership commands

MembershipCommands had a second copy of how `fleet members` ranks the instances' answers. FleetCommands.latestStatus serves both; each keeps its own time limit. No change of behaviour: InstanceMessagesTest (command output, byte for byte) and MembershipCommandsTest pass.

--- a/hosted/src/main/java/embershift/hosted/FleetCommands.java
+++ b/hosted/src/main/java/embershift/hosted/FleetCommands.java
@@ -87,6 +87,31 @@
         }
     }
 
+    /**
+     * Returns the status of the instance with the latest term, of one term that of its leader; null
+     * if none answers.
+     */
+    static ObjectNode latestStatus(List<InetSocketAddress> addresses, double timeoutSeconds) {
+        ObjectNode latest = null;
+        for (InetSocketAddress address : addresses) {
+            ObjectNode answer =
+                    StoreClient.callInstance(
+                            address, StoreClient.newCall("status"), timeoutSeconds);
+            if (answer != null && (latest == null || rank(answer) > rank(latest))) {
+                latest = answer;
+            }
+        }
+        return latest;
+    }
+
+    private static long rank(ObjectNode status) {
+        return 2 * status.path("term").asLong() + (isLeader(status) ? 1 : 0);
+    }
+
+    static boolean isLeader(ObjectNode status) {
+        return status.path("role").asText().equals("leader");
+    }
+
     static void printTable(List<String> header, List<List<String>> rows) {
         int[] widths = new int[header.size()];
         List<List<String>> lines = new ArrayList<>(rows);
@@ -159,14 +184,7 @@
 
         @Override
         int run() {
-            ObjectNode latest = null;
-            for (InetSocketAddress address : addresses()) {
-                ObjectNode answer =
-                        StoreClient.callInstance(address, newCall(), Math.min(2, timeoutSeconds));
-                if (answer != null && (latest == null || rank(answer) > rank(latest))) {
-                    latest = answer;
-                }
-            }
+            ObjectNode latest = latestStatus(addresses(), Math.min(2, timeoutSeconds));
             return printOutcome(
                     latest == null
                             ? new StoreClient.Outcome(
@@ -174,11 +192,6 @@
                             : new StoreClient.Outcome("done", latest));
         }
 
-        private static long rank(ObjectNode answer) {
-            return 2 * answer.path("term").asLong()
-                    + (answer.path("role").asText().equals("leader") ? 1 : 0);
-        }
-
         @Override
         void printAnswer(ObjectNode answer) {
             List<List<String>> rows = new ArrayList<>();
--- a/hosted/src/main/java/embershift/hosted/MembershipCommands.java
+++ b/hosted/src/main/java/embershift/hosted/MembershipCommands.java
@@ -84,28 +84,10 @@
          * committed: a membership that it only has in its log may still be lost.
          */
         private static Optional<ObjectNode> committedStatus(List<InetSocketAddress> addresses) {
-            ObjectNode latest = null;
-            for (InetSocketAddress address : addresses) {
-                ObjectNode answer =
-                        StoreClient.callInstance(
-                                address, StoreClient.newCall("status"), MAX_STATUS_SECONDS);
-                if (answer != null && (latest == null || rank(answer) > rank(latest))) {
-                    latest = answer;
-                }
-            }
-            return Optional.ofNullable(latest)
-                    .filter(MembershipCommand::isLeader)
+            return Optional.ofNullable(FleetCommands.latestStatus(addresses, MAX_STATUS_SECONDS))
+                    .filter(FleetCommands::isLeader)
                     .filter(each -> each.path("agreed").asLong() == each.path("last").asLong());
         }
-
-        /** Orders answers by their term, and the leader of a term before its followers. */
-        private static long rank(ObjectNode status) {
-            return 2 * status.path("term").asLong() + (isLeader(status) ? 1 : 0);
-        }
-
-        private static boolean isLeader(ObjectNode status) {
-            return status.path("role").asText().equals("leader");
-        }
     }
 
     @Parameters(
