Review case 10: a new process places by a remembered list while discovery is slow

Cause: where lists are pushed a new process counts as told at once, and is ready without an answer of discovery.

--- a/review/stand-2/Rig.java
+++ b/review/stand-2/Rig.java
@@ -367,6 +367,9 @@
         private final String name;
         private long generation = 1;
 
+        /** Seconds that each call waits for its turn. */
+        volatile double turnSeconds;
+
         Discovery(String name) throws IOException {
             this.name = name;
             server = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
@@ -450,6 +453,7 @@
                     while (!line.isEmpty()) {
                         line = in.readLine();
                     }
+                    sleep(turnSeconds);
                     String body =
                             path.contains("after=")
                                     ? since(number(path, "after"), number(path, "wait_ms"))
