Review: say once in the stand-ins what the cases share

Cause: the cases repeated how a node, its hosts and the instances are started and how late setups are counted.

--- a/review/stand-2/HalfClose.java
+++ b/review/stand-2/HalfClose.java
@@ -1,7 +1,5 @@
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.file.Files;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Clients end their sending after a last line, while their host is slow. */
@@ -16,25 +14,11 @@
     }
 
     private static boolean check(Rig rig) throws Exception {
-        Rig.Host host = rig.new Host("h1");
         Rig.Discovery discovery = rig.new Discovery("discovery");
-        discovery.list("h1", host.port(), "in_service");
-        int clients = Rig.freePort();
-        int operators = Rig.freePort();
+        Rig.Host host = rig.hosts(1, discovery).get(0);
         host.lineSeconds = USUAL_LINE_SECONDS;
-        rig.start(
-                "n1",
-                rig.deployCommand("run"),
-                Map.of(
-                        "TMPDIR",
-                        rig.temporary.toString(),
-                        "LB_CONFIG",
-                        rig.write(
-                                        "n1.json",
-                                        Rig.configuration(
-                                                "n1", clients, operators, discovery.port(), discovery.whole()))
-                                .toString()));
-        rig.await("n1 is ready", 20, () -> Rig.call("GET", operators, "/api/ready") == 200);
+        int clients = Rig.freePort();
+        rig.startNode("n1", clients, Rig.freePort(), discovery);
         if (rig.trouble) {
             host.lineSeconds = USUAL_LINE_SECONDS * SLOWER;
             rig.note("the host runs " + SLOWER + " times slower");
--- a/review/stand-2/Rig.java
+++ b/review/stand-2/Rig.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.stream.Stream;
 
 /**
@@ -230,25 +231,98 @@
         }
     }
 
+    /** Starts the node of the deploy file, and waits until it is ready. */
+    Process startNode(String log, int clients, int operators, Discovery discovery) throws Exception {
+        Process process =
+                start(
+                        log,
+                        deployCommand("run"),
+                        Map.of(
+                                "TMPDIR",
+                                temporary.toString(),
+                                "LB_CONFIG",
+                                configure("n1", clients, operators, discovery).toString()));
+        await(log + " is ready", 20, () -> call("GET", operators, "/api/ready") == 200);
+        return process;
+    }
+
+    /** Starts a node with the agent, whose file is given, and waits until it is ready. */
+    Process startAgent(String log, String name, int clients, int operators, Discovery discovery, String door)
+            throws Exception {
+        Process process =
+                start(
+                        log,
+                        "exec java -jar door/target/embershift-door.jar serve --configuration "
+                                + configure(name, clients, operators, discovery)
+                                + " --door "
+                                + write("door-" + name + ".toml", door),
+                        Map.of("TMPDIR", temporary.toString()));
+        await(log + " is ready", 20, () -> call("GET", operators, "/api/ready") == 200);
+        return process;
+    }
+
+    /** Writes a node's configuration, whose remembered list is discovery's present one, if it is new. */
+    Path configure(String name, int clients, int operators, Discovery discovery) throws IOException {
+        Path file = temporary.resolve(name + ".json");
+        return Files.exists(file)
+                ? file
+                : write(
+                        name + ".json",
+                        configuration(name, clients, operators, discovery.port(), discovery.whole()));
+    }
+
+    /** Hosts h1, h2 and so on, which each discovery lists as in service. */
+    List<Host> hosts(int count, Discovery... discoveries) throws IOException {
+        List<Host> hosts = new ArrayList<>();
+        for (int i = 1; i <= count; i++) {
+            Host host = new Host("h" + i);
+            hosts.add(host);
+            for (Discovery discovery : discoveries) {
+                discovery.list(host.name, host.port(), "in_service");
+            }
+        }
+        return hosts;
+    }
+
+    /** Notes how many setups the first host got in all and too late, and whether none was too late. */
+    boolean noneLate(List<Host> hosts, double drainedAt, double latest) {
+        long late = hosts.get(0).setupsAfter(latest);
+        note("setups sent to h1 after the drain began: " + hosts.get(0).setupsAfter(drainedAt));
+        note("of them later than " + String.format("%.2f", latest) + " (told, the grace and 50 ms): " + late);
+        note("setups sent to the other hosts after the drain began: "
+                + hosts.stream().skip(1).mapToLong(host -> host.setupsAfter(drainedAt)).sum());
+        return late == 0;
+    }
+
+    /** Opens tunnels for some seconds; the case can't run where the first host gets none of them. */
+    void warmUp(List<Host> hosts, int port, double seconds, double perSecond) throws CannotRun {
+        openUntil(now() + seconds, port, perSecond, "a");
+        if (hosts.get(0).setupsAfter(0) == 0) {
+            throw new CannotRun("the host that is to drain got no tunnel before");
+        }
+    }
+
     // ---- A group of control-plane instances ----
 
+    static final List<String> INSTANCES = List.of("i1", "i2", "i3");
+
     /** Three instances that agree, with their command line. */
     final class Instances {
-        final List<String> names = List.of("i1", "i2", "i3");
         final Map<String, Integer> ports = new LinkedHashMap<>();
 
         /** The ways by which an instance reaches another, as "i2 to i1". */
         final Map<String, Way> ways = new LinkedHashMap<>();
 
         /**
-         * Starts the instances; each asks discovery at an address of its own. Those named in {@code
-         * proxied}, as "i2 to i1", reach the other one by a way that can be cut. The first leads.
+         * Starts the instances; the first leads. Each asks discovery at the port that is given for its
+         * name. Those named in {@code proxied}, as "i2 to i1", reach the other one by a way that can be
+         * cut.
          */
-        Instances(Map<String, Integer> discoveryPorts, String... proxied) throws Exception {
-            for (String name : names) {
+        Instances(Function<String, Integer> discoveryPort, String... proxied) throws Exception {
+            for (String name : INSTANCES) {
                 ports.put(name, freePort());
             }
-            for (String name : names) {
+            for (String name : INSTANCES) {
                 StringBuilder others = new StringBuilder("[ways]\n");
                 for (String each : proxied) {
                     if (each.startsWith(name + " to ")) {
@@ -263,7 +337,7 @@
                                 + "listen = \"127.0.0.1:" + ports.get(name) + "\"\n"
                                 + others
                                 + "[fleet]\n"
-                                + "discovery = \"127.0.0.1:" + discoveryPorts.get(name) + "\"\n";
+                                + "discovery = \"127.0.0.1:" + discoveryPort.apply(name) + "\"\n";
                 Path installation = write(name + ".toml", file);
                 start(
                         name,
@@ -271,7 +345,7 @@
                                 + installation,
                         Map.of());
             }
-            for (String name : names) {
+            for (String name : INSTANCES) {
                 await(name + " listens", 20, () -> accepts(ports.get(name)));
             }
             fleet("found", "--at", "127.0.0.1:" + ports.get("i1"));
@@ -290,6 +364,7 @@
             return String.join(",", addresses);
         }
 
+        /** The agent's file of a node that reaches all instances. */
         String toml() {
             return "instances = [\"" + all().replace(",", "\", \"") + "\"]\n";
         }
@@ -300,6 +375,7 @@
             return answer.done ? answer.text.strip() : "";
         }
 
+        /** Runs a command of the fleet's command line. */
         Answer fleet(String... words) throws Exception {
             List<String> command =
                     new ArrayList<>(
@@ -310,6 +386,9 @@
                             .directory(root.toFile())
                             .redirectErrorStream(true)
                             .start();
+            synchronized (processes) {
+                processes.add(process);
+            }
             String text = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             int status = process.waitFor();
             note("fleet " + String.join(" ", words) + " -> " + status + " " + text.strip());
--- a/review/stand-2/StaleRegistration.java
+++ b/review/stand-2/StaleRegistration.java
@@ -26,42 +26,20 @@
         Rig.run(arguments, rig -> new StaleRegistration(rig).check());
     }
 
-    private Process start(String log, String name, int clientPort, int operatorPort, String instances)
-            throws Exception {
-        Process process =
-                rig.start(
-                        log,
-                        "exec java -jar door/target/embershift-door.jar serve --configuration "
-                                + rig.write(
-                                        name + ".json",
-                                        Rig.configuration(
-                                                name, clientPort, operatorPort, discovery.port(), discovery.whole()))
-                                + " --door "
-                                + rig.write("door-" + name + ".toml", instances),
-                        Map.of());
-        rig.await(log + " is ready", 20, () -> Rig.call("GET", operatorPort, "/api/ready") == 200);
-        return process;
-    }
-
     private Process restart(Process old, String log, String instances) throws Exception {
         rig.signal(old, "TERM");
         rig.note("n1 ended with status " + old.waitFor());
-        return start(log, "n1", clients, operators, instances);
+        return rig.startAgent(log, "n1", clients, operators, discovery, instances);
     }
 
     private boolean check() throws Exception {
-        Rig.Host host = rig.new Host("h1");
-        discovery.list("h1", host.port(), "in_service");
-        Map<String, Integer> ports = new LinkedHashMap<>();
-        for (String name : new String[] {"i1", "i2", "i3"}) {
-            ports.put(name, discovery.port());
-        }
+        rig.hosts(1, discovery);
         Rig.Instances instances =
                 rig.new Instances(
-                        ports, "i1 to i2", "i1 to i3", "i2 to i1", "i2 to i3", "i3 to i1", "i3 to i2");
+                        name -> discovery.port(), "i1 to i2", "i1 to i3", "i2 to i1", "i2 to i3", "i3 to i1", "i3 to i2");
         Map<String, Rig.Way> fromNode = new LinkedHashMap<>();
         List<String> addresses = new ArrayList<>();
-        for (String name : instances.names) {
+        for (String name : Rig.INSTANCES) {
             fromNode.put(name, rig.new Way(instances.ports.get(name)));
             addresses.add("\"127.0.0.1:" + fromNode.get(name).port() + "\"");
         }
@@ -69,9 +47,9 @@
 
         // The nodes of the other sites; they register at whichever instance answers them first.
         for (int i = 2; i <= 5; i++) {
-            start("n" + i, "n" + i, Rig.freePort(), Rig.freePort(), instances.toml());
+            rig.startAgent("n" + i, "n" + i, Rig.freePort(), Rig.freePort(), discovery, instances.toml());
         }
-        Process first = start("n1", "n1", clients, operators, door);
+        Process first = rig.startAgent("n1", "n1", clients, operators, discovery, door);
         String near = instances.ways.get("i2 to i1").hasPassed("\"node/") ? "i2" : "i3";
         if (!instances.ways.get(near + " to i1").hasPassed("\"node/")) {
             throw new Rig.CannotRun("all nodes have registered at the leader itself");
