Review: ports out of the way of other programs, and the site of case 6 chosen surely

Cause: a port that was free as a case began was taken by a connection before the node listened there, once in four plays beside others (exit 2). Change: ports below those that systems give out; in case 6 nodes are started until one has registered at an instance that does not lead.

--- a/review/stand-2/Rig.java
+++ b/review/stand-2/Rig.java
@@ -25,6 +25,7 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Stream;
@@ -149,9 +150,17 @@
         note(what);
     }
 
+    /** A free port below those that systems usually give to connections that begin here. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+        for (int tries = 0; ; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(11000, 30000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                if (tries == 100) {
+                    throw e;
+                }
+            }
         }
     }
 
--- a/review/stand-2/StaleRegistration.java
+++ b/review/stand-2/StaleRegistration.java
@@ -32,11 +32,21 @@
         return rig.startAgent(log, "n1", clients, operators, discovery, instances);
     }
 
+    /** The instance that has passed the registration of a node on to the leader; empty if none has. */
+    private static String near(Rig.Instances instances) {
+        return Rig.INSTANCES.stream()
+                .skip(1)
+                .filter(name -> instances.ways.get(name + " to i1").hasPassed("\"node/"))
+                .findFirst()
+                .orElse("");
+    }
+
     private boolean check() throws Exception {
         rig.hosts(1, discovery);
         Rig.Instances instances =
                 rig.new Instances(
-                        name -> discovery.port(), "i1 to i2", "i1 to i3", "i2 to i1", "i2 to i3", "i3 to i1", "i3 to i2");
+                        name -> discovery.port(),
+                        "i1 to i2", "i1 to i3", "i2 to i1", "i2 to i3", "i3 to i1", "i3 to i2");
         Map<String, Rig.Way> fromNode = new LinkedHashMap<>();
         List<String> addresses = new ArrayList<>();
         for (String name : Rig.INSTANCES) {
@@ -45,13 +55,14 @@
         }
         String door = "instances = [" + String.join(", ", addresses) + "]\n";
 
-        // The nodes of the other sites; they register at whichever instance answers them first.
-        for (int i = 2; i <= 5; i++) {
+        Process first = rig.startAgent("n1", "n1", clients, operators, discovery, door);
+        // The nodes of the other sites. Each registers at whichever instance answers it first; the site
+        // that is cut off is that of an instance which has registered one and does not lead.
+        for (int i = 2; i <= 5 || (i <= 9 && near(instances).isEmpty()); i++) {
             rig.startAgent("n" + i, "n" + i, Rig.freePort(), Rig.freePort(), discovery, instances.toml());
         }
-        Process first = rig.startAgent("n1", "n1", clients, operators, discovery, door);
-        String near = instances.ways.get("i2 to i1").hasPassed("\"node/") ? "i2" : "i3";
-        if (!instances.ways.get(near + " to i1").hasPassed("\"node/")) {
+        String near = near(instances);
+        if (near.isEmpty() && rig.trouble) {
             throw new Rig.CannotRun("all nodes have registered at the leader itself");
         }
         List<Rig.Way> cut = new ArrayList<>();
@@ -72,8 +83,8 @@
             rig.note("the site of " + near + " and n1 is cut off from the others");
         }
         Process second = restart(first, "n1-second", door);
-        rig.note("the second process's registration is "
-                + (instances.ways.get(near + " to i1").hasHeld("\"node/n1\"") ? "" : "not ") + "held on the way");
+        boolean held = cut.stream().anyMatch(way -> way.hasHeld("\"node/n1\""));
+        rig.note("the second process's registration is " + (held ? "" : "not ") + "held on the way");
         Process third = restart(second, "n1-third", door);
         Rig.sleep(Math.max(0, cutAt + CUT_SECONDS - rig.now()));
         cut.forEach(way -> way.cut(false));
