Let NodeConnections run on any channel, clock and store client

Cause: registrations of nodes could be played only with sockets and a whole instance, as NodeConnections knew Instance.InboundConnection and the event loop.

Change: it knows two small interfaces, Channel and StoreCalls, and a clock; InboundConnection and AsyncStoreClient implement them. No behaviour changes.

--- a/hosted/src/main/java/embershift/hosted/AsyncStoreClient.java
+++ b/hosted/src/main/java/embershift/hosted/AsyncStoreClient.java
@@ -22,7 +22,7 @@
  * A non-blocking client of the replicated store: calls are made one after the other on a thread of
  * its own, and their outcomes are handed to an executor of the caller.
  */
-public final class AsyncStoreClient implements AutoCloseable {
+public final class AsyncStoreClient implements AutoCloseable, NodeConnections.StoreCalls {
 
     private final ExecutorService executor;
     private final StoreClient client;
@@ -47,6 +47,7 @@
                         });
     }
 
+    @Override
     public void call(
             ObjectNode call, double timeoutSeconds, Consumer<StoreClient.Outcome> listener) {
         try {
--- a/hosted/src/main/java/embershift/hosted/Instance.java
+++ b/hosted/src/main/java/embershift/hosted/Instance.java
@@ -489,7 +489,7 @@
     }
 
     /** An accepted connection: of another instance, a node or a caller. */
-    final class InboundConnection implements TcpConnection.Listener {
+    final class InboundConnection implements TcpConnection.Listener, NodeConnections.Channel {
         private static final int MAX_CONSECUTIVE_DROPS = 20;
         private final TcpConnection connection;
         private final FrameCodec frames = new FrameCodec();
@@ -550,8 +550,8 @@
             }
         }
 
-        /** Sends a message to a node; drops it while earlier ones are still unsent. */
-        void sendToNode(ObjectNode message) {
+        @Override
+        public void sendToNode(ObjectNode message) {
             if (connection.isClosed()) {
                 return;
             }
@@ -568,8 +568,8 @@
             }
         }
 
-        /** Closes the connection once everything written to it has been sent. */
-        void closeGracefully() {
+        @Override
+        public void closeGracefully() {
             callers.remove(this);
             connection.closeGracefully();
         }
@@ -674,7 +674,8 @@
             openCallIds.remove(callId);
         }
 
-        void close() {
+        @Override
+        public void close() {
             callers.remove(this);
             if (peer != null) {
                 inboundPeers.remove(peer, this);
--- a/hosted/src/main/java/embershift/hosted/LeasedTasks.java
+++ b/hosted/src/main/java/embershift/hosted/LeasedTasks.java
@@ -68,7 +68,7 @@
         queryClient = new AsyncStoreClient(addresses, name, loop::execute);
         nodes =
                 new NodeConnections(
-                        loop,
+                        loop::now,
                         store,
                         new AsyncStoreClient(addresses, name, loop::execute),
                         new AsyncStoreClient(addresses, name, loop::execute),
--- a/hosted/src/main/java/embershift/hosted/NodeConnections.java
+++ b/hosted/src/main/java/embershift/hosted/NodeConnections.java
@@ -11,7 +11,6 @@
 import embershift.fleet.store.KeyValueStore;
 import embershift.fleet.store.Mutation;
 import embershift.fleet.store.Precondition;
-import embershift.transport.EventLoop;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -19,6 +18,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import org.slf4j.Logger;
@@ -26,7 +26,7 @@
 
 /**
  * The nodes that are connected to this instance: their registrations, their messages and the orders
- * that they have not answered yet. Confined to the event loop.
+ * that they have not answered yet. Not thread-safe.
  */
 final class NodeConnections {
 
@@ -48,6 +48,26 @@
     static final String NODE_PREFIX = "node/";
     static final String SHUT_OUT_PREFIX = "out/";
 
+    /** A connection to a node. */
+    interface Channel {
+
+        /** Sends a message; it may be dropped while earlier ones are still unsent. */
+        void sendToNode(ObjectNode message);
+
+        /** Closes the connection once everything written to it has been sent. */
+        void closeGracefully();
+
+        /** Closes the connection immediately. */
+        void close();
+    }
+
+    /** Makes calls to the replicated store. */
+    interface StoreCalls {
+
+        /** Makes a call; the listener gets the outcome within about the timeout, in seconds. */
+        void call(ObjectNode call, double timeoutSeconds, Consumer<StoreClient.Outcome> listener);
+    }
+
     /** Is notified about connected nodes. */
     interface Listener {
 
@@ -63,7 +83,7 @@
         final String name;
         final String bootId;
         long incarnation;
-        private final Instance.InboundConnection connection;
+        private final Channel connection;
         private double nodeClock;
         private double lastHeardAt;
         private JsonNode report = JsonMessages.newObject();
@@ -75,13 +95,13 @@
                 String bootId,
                 long incarnation,
                 double nodeClock,
-                Instance.InboundConnection connection) {
+                Channel connection) {
             this.name = name;
             this.bootId = bootId;
             this.incarnation = incarnation;
             this.nodeClock = nodeClock;
             this.connection = connection;
-            lastHeardAt = loop.now();
+            lastHeardAt = clock.getAsDouble();
         }
 
         /**
@@ -104,7 +124,8 @@
                 return;
             }
             long id = ++lastOrderId;
-            pendingOrders.put(id, new PendingOrder(listener, loop.now() + VERDICT_TIMEOUT_SECONDS));
+            pendingOrders.put(
+                    id, new PendingOrder(listener, clock.getAsDouble() + VERDICT_TIMEOUT_SECONDS));
             send(order.put("kind", "order").put("id", id).put("seen", nodeClock));
         }
 
@@ -113,7 +134,7 @@
             connection.sendToNode(
                     message.put("floor", revisionFloor())
                             .put("time", hybridClock.toString())
-                            .put("at", loop.now()));
+                            .put("at", clock.getAsDouble()));
         }
 
         private void reject(String reason) {
@@ -128,22 +149,22 @@
         }
     }
 
-    private final EventLoop loop;
+    private final DoubleSupplier clock;
     private final Supplier<KeyValueStore> store;
-    private final AsyncStoreClient registrationClient;
-    private final AsyncStoreClient auditClient;
+    private final StoreCalls registrationClient;
+    private final StoreCalls auditClient;
     private final Listener listener;
     private final Map<String, NodeConnection> connections = new TreeMap<>();
     private HybridLogicalClock hybridClock = HybridLogicalClock.START;
     private long lastOrderId;
 
     NodeConnections(
-            EventLoop loop,
+            DoubleSupplier clock,
             Supplier<KeyValueStore> store,
-            AsyncStoreClient registrationClient,
-            AsyncStoreClient auditClient,
+            StoreCalls registrationClient,
+            StoreCalls auditClient,
             Listener listener) {
-        this.loop = loop;
+        this.clock = clock;
         this.store = store;
         this.registrationClient = registrationClient;
         this.auditClient = auditClient;
@@ -166,7 +187,7 @@
      * Rejects the nodes that may no longer act and expires orders. Call it several times a second.
      */
     void checkConnections() {
-        double now = loop.now();
+        double now = clock.getAsDouble();
         for (NodeConnection node : List.copyOf(connections.values())) {
             String reason = rejectionReason(node.name, node.bootId, node.incarnation);
             if (reason != null) {
@@ -205,7 +226,7 @@
 
     // Messages of nodes
 
-    NodeConnection handleHello(Instance.InboundConnection connection, ObjectNode hello) {
+    NodeConnection handleHello(Channel connection, ObjectNode hello) {
         String name = hello.path("name").asText();
         String bootId = hello.path("boot").asText();
         if (!NAME_PATTERN.matcher(name).matches()
@@ -299,7 +320,9 @@
         // The node echoes the time of the latest message that it had received before it sent
         // this one: a message that was long on its way proves nothing recent about the node.
         node.lastHeardAt =
-                Math.max(node.lastHeardAt, Math.min(message.path("echo").asDouble(), loop.now()));
+                Math.max(
+                        node.lastHeardAt,
+                        Math.min(message.path("echo").asDouble(), clock.getAsDouble()));
         switch (message.path("kind").asText()) {
             case "report" -> {
                 node.nodeClock = message.path("clock").asDouble();
