Register a process only behind the registration that it replaces

Cause: NodeConnections.register wrote node/NAME without a condition, and the record takes the latest write for the latest process.

Change: the write requires the registration that the instance's replica showed at the handshake. What was overtaken is refused; the process reconnects and registers behind the other. Refused registrations are logged.

--- a/hosted/src/main/java/embershift/hosted/CallHandler.java
+++ b/hosted/src/main/java/embershift/hosted/CallHandler.java
@@ -168,7 +168,7 @@
         return new SessionId(call.path("session").asLong());
     }
 
-    private static StoreCommand.Transaction transaction(ObjectNode call) {
+    static StoreCommand.Transaction transaction(ObjectNode call) {
         List<Precondition> preconditions = new ArrayList<>();
         for (JsonNode condition : call.path("conditions")) {
             preconditions.add(
--- a/hosted/src/main/java/embershift/hosted/NodeConnections.java
+++ b/hosted/src/main/java/embershift/hosted/NodeConnections.java
@@ -257,21 +257,33 @@
         if (node.incarnation > 0 || (registration != null && registration.value().equals(bootId))) {
             welcome(node, node.incarnation > 0 ? node.incarnation : registration.revision());
         } else {
-            register(node);
+            register(node, registration == null ? Precondition.ABSENT : registration.revision());
         }
         return node;
     }
 
-    /** Registers the process under its name; the revision of that write is its incarnation. */
-    private void register(NodeConnection node) {
+    /**
+     * Registers the process under its name; the revision of that write is its incarnation. The
+     * write is refused if another process has registered since the handshake: a write that arrives
+     * late must not make a process that has ended the latest one.
+     *
+     * @param previousRegistration the revision of the registration that this one replaces, as this
+     *     instance's replica has it
+     */
+    private void register(NodeConnection node, long previousRegistration) {
         registrationClient.call(
-                StoreClient.newPut(NODE_PREFIX + node.name, node.bootId, -1),
+                StoreClient.newPut(NODE_PREFIX + node.name, node.bootId, previousRegistration),
                 CALL_TIMEOUT_SECONDS,
                 outcome -> {
                     if (outcome.isDone()) {
                         welcome(node, outcome.answer().path("number").asLong());
                     } else {
                         // The node reconnects and registers again.
+                        LOG.info(
+                                "registration not stored",
+                                kv("node", node.name),
+                                kv("boot", node.bootId),
+                                kv("why", outcome.reason()));
                         node.connection.close();
                     }
                 });
