Keep a half-closed tunnel for as long as its host answers

Cause: a client's half-close began a bound of 0.8 s in all for its host to end the tunnel (Router.CLOSING_SECONDS). At a stop such tunnels were cut off without MOVE as well.

Change: the bound is the host's silence, 4 s as for a line on an open tunnel; bytes of the host and bytes that it takes begin it anew, a client that does not read holds it up. A node that ends such a tunnel sends MOVE first.

The test of the stop asked for an end without MOVE.

--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -58,9 +58,10 @@
     private static final double SILENCE_SECONDS = 2.5;
 
     /**
-     * Seconds for which a host may take to end its side of a tunnel whose client has ended its own.
+     * Seconds for which a host may be silent on a tunnel whose client has ended its sending: as
+     * long as it may be before it answers the line of any other client.
      */
-    private static final double CLOSING_SECONDS = 0.8;
+    private static final double CLOSING_SECONDS = QUIET_SECONDS + SILENCE_SECONDS;
 
     private static final double SWEEP_SECONDS = 0.1;
     private static final double MIN_WAKE_SECONDS = 0.002;
--- a/node/src/main/java/embershift/routing/TunnelRelay.java
+++ b/node/src/main/java/embershift/routing/TunnelRelay.java
@@ -331,24 +331,30 @@
     }
 
     /**
-     * Ends an open tunnel whose host has not sent a line for too long, and tells its client to
-     * move.
+     * Ends a tunnel whose host has not sent a line for too long, and tells its client to move, also
+     * one that has ended its sending.
      */
     void onHostSilent() {
-        if (state == State.OPEN) {
+        if (state == State.OPEN || state == State.CLOSING) {
             router.tally().count("tunnels at silent hosts");
-            if (hostLineTracker.atLineBoundary()) {
-                client.write(LineCodec.encode("MOVE"));
-            }
-            endTunnel(SetupOutcome.BROKEN, LoadReport.NONE);
-            client.closeGracefully();
-            setup.connection.close();
+            moveAndClose(SetupOutcome.BROKEN);
         }
     }
 
+    /** Ends a tunnel at once, and tells its client to move unless a line is incomplete. */
+    private void moveAndClose(SetupOutcome outcome) {
+        if (hostLineTracker.atLineBoundary()) {
+            client.write(LineCodec.encode("MOVE"));
+        }
+        endTunnel(outcome, LoadReport.NONE);
+        client.closeGracefully();
+        setup.connection.close();
+    }
+
     /** Marks an open tunnel as ended, and reports that to the policy once. */
     private void endTunnel(SetupOutcome outcome, LoadReport report) {
         markClosed();
+        router.closingTunnels().remove(this);
         reportSetupEnd(setup, outcome, report, true);
         router.remove(this);
     }
@@ -416,13 +422,11 @@
         public void inputEnded() {
             switch (state) {
                 case OPEN -> {
-                    // The host may still send BYE; the tunnel ends when its connection does.
+                    // The host may still answer; the tunnel ends when its connection does.
                     state = State.CLOSING;
-                    stopReplyTimeouts();
                     setup.connection.shutdownOutput();
                     router.closingTunnels().add(TunnelRelay.this, router.now());
                 }
-                case CLOSING -> close();
                 default -> clientLeft(false);
             }
         }
@@ -444,7 +448,6 @@
     private void clientLeft(boolean reset) {
         State previousState = state;
         if (previousState == State.OPEN || previousState == State.CLOSING) {
-            router.closingTunnels().remove(this);
             endTunnel(SetupOutcome.CANCELLED, LoadReport.NONE);
             if (reset) {
                 setup.connection.reset();
@@ -475,33 +478,29 @@
     void stop() {
         switch (state) {
             case PENDING -> sendFinalAnswer("ERR node stops", Outcome.CLOSED_WITH_ERROR);
-            case OPEN -> {
-                if (hostLineTracker.atLineBoundary()) {
-                    client.write(LineCodec.encode("MOVE"));
-                }
-                endTunnel(SetupOutcome.CANCELLED, LoadReport.NONE);
-                client.closeGracefully();
-                setup.connection.close();
-            }
-            // The client has ended its sending: end both connections, as when the host ends its
-            // own.
-            case CLOSING -> close();
+            // A client that has ended its sending may still wait for its host's answer.
+            case OPEN, CLOSING -> moveAndClose(SetupOutcome.CANCELLED);
             default -> {}
         }
     }
 
-    /** Ends a tunnel whose client has ended its sending and whose host has not followed in time. */
+    /** Handles a host that is silent, after the client has ended its sending. */
     void onClosingTimeout() {
-        if (state == State.CLOSING) {
-            close();
+        if (client.hasPendingWrites()) {
+            // A client that does not read keeps its host's lines from arriving.
+            router.closingTunnels().add(this, router.now());
+        } else {
+            router.tally().count("half-closed tunnels at silent hosts");
+            moveAndClose(SetupOutcome.CANCELLED);
         }
     }
 
-    private void close() {
-        router.closingTunnels().remove(this);
-        endTunnel(SetupOutcome.CANCELLED, LoadReport.NONE);
-        client.closeGracefully();
-        setup.connection.closeGracefully();
+    /** The host of a tunnel whose client has ended its sending is still active. */
+    private void restartClosingTimeout() {
+        if (state == State.CLOSING) {
+            router.closingTunnels().remove(this);
+            router.closingTunnels().add(this, router.now());
+        }
     }
 
     /** The host of an open tunnel has ended its sending, or reset the connection. */
@@ -527,7 +526,6 @@
                         : closedNormally || (state == State.CLOSING && !reset)
                                 ? SetupOutcome.CANCELLED
                                 : SetupOutcome.BROKEN;
-        router.closingTunnels().remove(this);
         endTunnel(
                 outcome,
                 outcome == SetupOutcome.COMPLETED
@@ -785,6 +783,7 @@
             if (client.hasPendingWrites()) {
                 connection.setReading(false);
             }
+            restartClosingTimeout();
             moveIfBetweenLines();
         }
 
@@ -832,6 +831,7 @@
             if (!firstLineWritten) {
                 markFirstLineWritten();
             }
+            restartClosingTimeout();
             client.setReading(true);
         }
     }
--- a/node/src/test/java/embershift/routing/RouterRaceTest.java
+++ b/node/src/test/java/embershift/routing/RouterRaceTest.java
@@ -552,7 +552,7 @@
     }
 
     @Test
-    public void tunnelHalfClosedByClientBeforeStopIsClosedOnBothSides() throws Exception {
+    public void tunnelHalfClosedByClientBeforeStopIsMovedAndClosedOnBothSides() throws Exception {
         ServerSocket host = openServerSocket();
         startRouter("1024", host);
         Socket[] tunnel = openTunnel(host);
@@ -560,6 +560,7 @@
         assertEquals(readLine(tunnel[1]), null);
         runOnLoop(router::stop);
         assertTrue(callOnLoop(router::isDrained));
+        assertEquals(readLine(tunnel[0]), "MOVE");
         assertEquals(readLine(tunnel[0]), null);
     }
 
