Move an instance's accepted connections into a class of their own

Change: InboundConnection is a class of its own and reaches the instance through package-private methods. No behaviour changes.

--- a/hosted/src/main/java/embershift/hosted/CallHandler.java
+++ b/hosted/src/main/java/embershift/hosted/CallHandler.java
@@ -34,7 +34,7 @@
     private CallHandler() {}
 
     /** Handles a call; the answer is sent now or later. */
-    static void handle(Instance instance, Instance.InboundConnection connection, byte[] frame)
+    static void handle(Instance instance, InboundConnection connection, byte[] frame)
             throws FrameCodec.MalformedFrameException {
         ObjectNode call = JsonMessages.decodeFrame(frame);
         long id = call.path("id").asLong();
@@ -133,7 +133,7 @@
 
     /** Answers with the items after the call's {@code after} key that fit into one answer. */
     private static ResultListener pagedListener(
-            Instance.InboundConnection connection, long id, ObjectNode call) {
+            InboundConnection connection, long id, ObjectNode call) {
         return (callId, result) -> {
             connection.callAnswered(callId);
             if (!(result instanceof CallResult.Found found)) {
@@ -148,7 +148,7 @@
 
     private static void addMember(
             Instance instance,
-            Instance.InboundConnection connection,
+            InboundConnection connection,
             ResultListener listener,
             ObjectNode call) {
         if (!TomlSettings.isValidAddress(call.path("address").asText())) {
--- a/hosted/src/main/java/embershift/hosted/Instance.java
+++ b/hosted/src/main/java/embershift/hosted/Instance.java
@@ -2,14 +2,11 @@
 
 import static net.logstash.logback.argument.StructuredArguments.kv;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import embershift.door.FrameCodec;
-import embershift.door.JsonMessages;
 import embershift.door.TomlSettings;
 import embershift.fleet.store.CallResult;
 import embershift.fleet.store.ReplicatedStore;
 import embershift.fleet.store.SnapshotPolicy;
-import embershift.raft.MalformedBytesException;
 import embershift.raft.Member;
 import embershift.raft.MemberId;
 import embershift.raft.RaftMessage;
@@ -29,7 +26,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -152,8 +148,8 @@
                                     connection ->
                                             loop.execute(
                                                     () ->
-                                                            instance
-                                                            .new InboundConnection(connection)))
+                                                            new InboundConnection(
+                                                                    instance, connection)))
                             .localAddress();
             loop.execute(
                     () -> {
@@ -180,7 +176,7 @@
         }
     }
 
-    private void count(String counter) {
+    void count(String counter) {
         counters.merge(counter, 1L, Long::sum);
     }
 
@@ -190,7 +186,7 @@
      * Runs an action and halts the process on an unexpected exception: after it nobody can tell
      * whether what this instance has promised to others still holds.
      */
-    private void runGuarded(Runnable action) {
+    void runGuarded(Runnable action) {
         try {
             action.run();
         } catch (RuntimeException e) {
@@ -208,7 +204,7 @@
      * Applies the ticks that are due. Runs before any received data is handled, so that an instance
      * that was paused does not take old messages for recent ones.
      */
-    private void catchUpTicks() {
+    void catchUpTicks() {
         double now = loop.now();
         int ticks = (int) ((now - lastTickAt) / tickSeconds);
         if (ticks > 0) {
@@ -327,7 +323,10 @@
                     inbound == null
                             ? null
                             : new Member(
-                                    to, inbound.peerName, inbound.peerAddress, Member.Role.LEARNER);
+                                    to,
+                                    inbound.peerName(),
+                                    inbound.peerAddress(),
+                                    Member.Role.LEARNER);
         }
         if (member != null) {
             String address = settings.peerAddresses().getOrDefault(member.name(), member.address());
@@ -488,226 +487,11 @@
         return true;
     }
 
-    /** An accepted connection: of another instance, a node or a caller. */
-    final class InboundConnection implements TcpConnection.Listener, NodeConnections.Channel {
-        private static final int MAX_CONSECUTIVE_DROPS = 20;
-        private final TcpConnection connection;
-        private final FrameCodec frames = new FrameCodec();
-        private MemberId peer;
-        private String peerName = "";
-        private String peerAddress = "";
-        private NodeConnections.NodeConnection node;
-        private int consecutiveDrops;
-        private final Set<Long> openCallIds = new LinkedHashSet<>();
-
-        InboundConnection(TcpConnection connection) {
-            this.connection = connection;
-            callers.add(this);
-            connection.setListener(this);
-        }
-
-        @Override
-        public void received(ByteBuffer bytes) {
-            runGuarded(Instance.this::catchUpTicks);
-            try {
-                frames.decode(bytes, frame -> runGuarded(() -> handleFrame(frame)));
-            } catch (FrameCodec.MalformedFrameException e) {
-                count("connections with unreadable bytes");
-                close();
-            }
-        }
-
-        private void handleFrame(byte[] frame) {
-            if (connection.isClosed() || tasks == null) {
-                return;
-            }
-            try {
-                switch (frame[0]) {
-                    case FrameCodec.HANDSHAKE -> handleHandshake(Handshake.decode(frame));
-                    case FrameCodec.MESSAGE -> handleRaftMessage(frame);
-                    case FrameCodec.CALL -> CallHandler.handle(Instance.this, this, frame);
-                    case FrameCodec.NODE -> handleNodeMessage(JsonMessages.decodeFrame(frame));
-                    default ->
-                            throw new FrameCodec.MalformedFrameException(
-                                    "unknown frame type " + frame[0]);
-                }
-            } catch (FrameCodec.MalformedFrameException | MalformedBytesException e) {
-                count("connections with unreadable bytes");
-                close();
-            }
-        }
-
-        private void handleNodeMessage(ObjectNode message)
-                throws FrameCodec.MalformedFrameException {
-            if (node == null && message.path("kind").asText().equals("here")) {
-                callers.remove(this);
-                node = tasks.nodes().handleHello(this, message);
-            } else if (node != null) {
-                tasks.nodes().handleMessage(node, message);
-            } else {
-                throw new FrameCodec.MalformedFrameException(
-                        "first message of a node is not its registration");
-            }
-        }
-
-        @Override
-        public void sendToNode(ObjectNode message) {
-            if (connection.isClosed()) {
-                return;
-            }
-            if (connection.hasPendingWrites()
-                    || !connection.write(JsonMessages.encodeFrame(FrameCodec.ORDER, message))) {
-                count("words to nodes dropped");
-                // A dropped message is repeated later, or the node reconnects after the close.
-                consecutiveDrops++;
-                if (consecutiveDrops > MAX_CONSECUTIVE_DROPS) {
-                    close();
-                }
-            } else {
-                consecutiveDrops = 0;
-            }
-        }
-
-        @Override
-        public void closeGracefully() {
-            callers.remove(this);
-            connection.closeGracefully();
-        }
-
-        private void handleHandshake(Handshake handshake) {
-            String rejection = rejectionReason(handshake);
-            if (rejection != null) {
-                count("instances refused");
-                LOG.warn(
-                        "refused",
-                        kv("name", handshake.senderName()),
-                        kv("id", handshake.sender().toString()),
-                        kv("why", rejection));
-                connection.write(
-                        FrameCodec.encode(
-                                FrameCodec.HANDSHAKE_REJECTED,
-                                rejection.getBytes(StandardCharsets.UTF_8)));
-                callers.remove(this);
-                connection.closeGracefully();
-                return;
-            }
-            if (handshake.recipient().number() != 0) {
-                if (identity.group() == 0 && !joinGroup(handshake.group())) {
-                    close();
-                    return;
-                }
-                peer = handshake.sender();
-                peerName = handshake.senderName();
-                peerAddress = handshake.senderAddress();
-                callers.remove(this);
-                InboundConnection previous = inboundPeers.put(peer, this);
-                if (previous != null) {
-                    // What it still holds is from an earlier run of the sender, or the sender
-                    // abandoned it.
-                    previous.close();
-                }
-            }
-            connection.write(
-                    FrameCodec.encode(
-                            FrameCodec.HANDSHAKE_ACCEPTED,
-                            Handshake.of(
-                                            identity.group(),
-                                            identity.id(),
-                                            settings.name(),
-                                            handshake.sender(),
-                                            settings.advertisedAddress())
-                                    .encode()));
-        }
-
-        private String rejectionReason(Handshake handshake) {
-            if (Handshake.negotiatedVersion(handshake.oldestVersion(), handshake.newestVersion())
-                    == 0) {
-                return "versions "
-                        + handshake.oldestVersion()
-                        + " to "
-                        + handshake.newestVersion()
-                        + " are not known here, but "
-                        + Handshake.OLDEST_VERSION
-                        + " to "
-                        + Handshake.NEWEST_VERSION;
-            }
-            if (handshake.recipient().number() == 0) {
-                return null;
-            }
-            if (!handshake.recipient().equals(identity.id())) {
-                return "here is " + identity.id() + ", not " + handshake.recipient();
-            }
-            if (identity.group() != 0 && handshake.group() != identity.group()) {
-                return "of group "
-                        + Long.toHexString(handshake.group())
-                        + ", here is "
-                        + Long.toHexString(identity.group());
-            }
-            return handshake.group() == 0 ? "the sender belongs to no group" : null;
-        }
-
-        private void handleRaftMessage(byte[] frame) throws FrameCodec.MalformedFrameException {
-            if (peer == null || inboundPeers.get(peer) != this) {
-                throw new FrameCodec.MalformedFrameException("Raft message without a handshake");
-            }
-            count("messages taken");
-            replica.receive(
-                    loop.now(),
-                    peer,
-                    RaftMessageCodec.decode(Arrays.copyOfRange(frame, 1, frame.length)));
-        }
-
-        void sendAnswer(ObjectNode answer) {
-            if (!connection.isClosed()) {
-                connection.write(FrameCodec.encode(FrameCodec.ANSWER, JsonMessages.encode(answer)));
-            }
-        }
-
-        long registerCall(CallHandler.ResultListener listener) {
-            long callId = ++lastCallId;
-            pendingCalls.put(callId, listener);
-            openCallIds.add(callId);
-            return callId;
-        }
-
-        void callAnswered(long callId) {
-            openCallIds.remove(callId);
-        }
-
-        @Override
-        public void close() {
-            callers.remove(this);
-            if (peer != null) {
-                inboundPeers.remove(peer, this);
-            }
-            if (node != null) {
-                tasks.nodes().remove(node);
-            }
-            openCallIds.forEach(
-                    callId -> {
-                        pendingCalls.remove(callId);
-                        replica.cancelCall(callId);
-                    });
-            openCallIds.clear();
-            connection.close();
-        }
-
-        @Override
-        public void inputEnded() {
-            close();
-        }
-
-        @Override
-        public void connectionLost() {
-            close();
-        }
-    }
-
     /**
      * Joins a group and returns whether that is on disk. Done only once, before this instance has
      * promised anything to other members.
      */
-    private boolean joinGroup(long group) {
+    boolean joinGroup(long group) {
         Identity next = new Identity(identity.id(), group);
         try {
             next.write(disk);
@@ -722,6 +506,36 @@
 
     // Calls
 
+    long registerCall(CallHandler.ResultListener listener) {
+        long callId = ++lastCallId;
+        pendingCalls.put(callId, listener);
+        return callId;
+    }
+
+    void cancelCall(long callId) {
+        pendingCalls.remove(callId);
+        replica.cancelCall(callId);
+    }
+
+    /** Connections that are neither of other instances nor of nodes, oldest first. */
+    Set<InboundConnection> callers() {
+        return callers;
+    }
+
+    /** The connection of each other instance that is read. */
+    Map<MemberId, InboundConnection> inboundPeers() {
+        return inboundPeers;
+    }
+
+    /** The tasks, or null at the very start. */
+    LeasedTasks tasks() {
+        return tasks;
+    }
+
+    InstanceSettings settings() {
+        return settings;
+    }
+
     ReplicatedStore replica() {
         return replica;
     }
