Bound what an instance's connections make it keep, and their turns

Cause: an instance bounded its callers' number and the size of a frame, and nothing of what they made it keep: half frames of 4 MiB for as long as a connection lasted, answers that nobody read, all frames of a read at once, audit segments and registrations in a queue without end, messages of any number of fields, any number of nodes and of instances that are no members.

Change: all incomplete frames together, and all answers not taken, have an eighth of the heap each and 10 s; the connection that holds the most gives way. A connection is read on only once its answers are taken, and yields after 64 frames or 5 ms. Calls without an answer (64 a connection), queued calls (1024), audit segments (one a node), nodes (4096) and names (4096), non-members (16) and the parts of a message (250,000) are bounded. Pages count an overhead for each item; a list that fits only into pages is refused unpaged. The idle callers give way before those that wait for an answer.

--- a/door/src/main/java/embershift/door/FrameCodec.java
+++ b/door/src/main/java/embershift/door/FrameCodec.java
@@ -41,6 +41,9 @@
     private static final int HEADER_BYTES = 2 * Integer.BYTES;
     private static final int INITIAL_BUFFER_BYTES = 256;
 
+    /** Maximum size of a buffer that is kept while it is empty. */
+    private static final int MAX_IDLE_BUFFER_BYTES = 4096;
+
     /** Thrown when received bytes are not a valid frame. */
     public static final class MalformedFrameException extends Exception {
 
@@ -52,45 +55,80 @@
         }
     }
 
+    /** Received bytes; those before {@link #readIndex} have been returned already. */
     private ByteBuffer buffered = ByteBuffer.allocate(INITIAL_BUFFER_BYTES);
 
+    private int readIndex;
+
     /**
      * Decodes received bytes; {@code receiver} gets the type and content of each complete frame.
      */
     public void decode(ByteBuffer bytes, Consumer<byte[]> receiver) throws MalformedFrameException {
-        reserve(bytes.remaining());
-        buffered.put(bytes).flip();
-        while (buffered.remaining() >= HEADER_BYTES) {
-            int length = buffered.getInt(buffered.position());
-            if (length < 1 || length > MAX_CONTENT_BYTES) {
-                throw new MalformedFrameException("invalid frame length of " + length + " bytes");
-            }
-            if (buffered.remaining() < HEADER_BYTES + length) {
-                break;
-            }
-            receiver.accept(nextContent(length));
+        append(bytes);
+        for (byte[] frame = next(); frame != null; frame = next()) {
+            receiver.accept(frame);
         }
-        buffered.compact();
+    }
+
+    /** Takes received bytes, for {@link #next}. */
+    public void append(ByteBuffer bytes) {
+        reserve(bytes.remaining());
+        buffered.put(bytes);
     }
 
     private void reserve(int bytes) {
         if (buffered.remaining() < bytes) {
-            int needed = buffered.position() + bytes;
+            buffered.limit(buffered.position()).position(readIndex);
+            int needed = buffered.remaining() + bytes;
             int doubled = Math.min(2 * buffered.capacity(), MAX_CONTENT_BYTES);
-            buffered = ByteBuffer.allocate(Math.max(needed, doubled)).put(buffered.flip());
+            buffered =
+                    needed <= buffered.capacity()
+                            ? buffered.compact()
+                            : ByteBuffer.allocate(Math.max(needed, doubled)).put(buffered);
+            readIndex = 0;
         }
     }
 
-    private byte[] nextContent(int length) throws MalformedFrameException {
-        int expected = buffered.getInt(buffered.position() + Integer.BYTES);
+    /** Returns the type and content of the next frame; null if it is not complete yet. */
+    public byte[] next() throws MalformedFrameException {
+        int available = buffered.position() - readIndex;
+        if (available == 0) {
+            reset();
+        }
+        if (available < HEADER_BYTES) {
+            return null;
+        }
+        int length = buffered.getInt(readIndex);
+        if (length < 1 || length > MAX_CONTENT_BYTES) {
+            throw new MalformedFrameException("invalid frame length of " + length + " bytes");
+        }
+        if (available < HEADER_BYTES + length) {
+            return null;
+        }
+        int expected = buffered.getInt(readIndex + Integer.BYTES);
         byte[] content = new byte[length];
-        buffered.position(buffered.position() + HEADER_BYTES).get(content);
+        buffered.get(readIndex + HEADER_BYTES, content);
+        readIndex += HEADER_BYTES + length;
         if (expected != checksum(content)) {
             throw new MalformedFrameException("frame checksum mismatch");
         }
         return content;
     }
 
+    private void reset() {
+        readIndex = 0;
+        if (buffered.capacity() > MAX_IDLE_BUFFER_BYTES) {
+            buffered = ByteBuffer.allocate(INITIAL_BUFFER_BYTES);
+        } else {
+            buffered.clear();
+        }
+    }
+
+    /** Returns the memory that an incomplete frame takes, in bytes; 0 if there is none. */
+    public int allocatedBytes() {
+        return buffered.position() == readIndex ? 0 : buffered.capacity();
+    }
+
     /** Encodes a frame. */
     public static ByteBuffer encode(byte type, byte[] content) {
         return ByteBuffer.wrap(encodeToArray(type, content));
--- a/door/src/main/java/embershift/door/JsonMessages.java
+++ b/door/src/main/java/embershift/door/JsonMessages.java
@@ -1,6 +1,8 @@
 package embershift.door;
 
 import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -20,7 +22,26 @@
  */
 public final class JsonMessages {
 
-    private static final JsonMapper JSON = new JsonMapper();
+    /**
+     * Names, values and brackets of a message: lists of the largest fleet that is planned for have
+     * a third of that.
+     */
+    static final int MAX_TOKENS = 250_000;
+
+    private static final int MAX_DEPTH = 64;
+
+    // Names come from outside: none is kept once its message has been handled.
+    private static final JsonMapper JSON =
+            new JsonMapper(
+                    JsonFactory.builder()
+                            .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES)
+                            .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
+                            .streamReadConstraints(
+                                    StreamReadConstraints.builder()
+                                            .maxTokenCount(MAX_TOKENS)
+                                            .maxNestingDepth(MAX_DEPTH)
+                                            .build())
+                            .build());
 
     private JsonMessages() {}
 
--- a/hosted/src/main/java/embershift/hosted/AsyncStoreClient.java
+++ b/hosted/src/main/java/embershift/hosted/AsyncStoreClient.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import embershift.door.JsonMessages;
 import embershift.fleet.store.CallResult;
 import embershift.fleet.store.Mutation;
 import embershift.fleet.store.Precondition;
@@ -15,6 +16,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -24,6 +26,10 @@
  */
 public final class AsyncStoreClient implements AutoCloseable, NodeConnections.StoreCalls {
 
+    /** Calls that may wait for their turn; further ones are refused as busy. */
+    static final int MAX_QUEUED_CALLS = 1024;
+
+    private final AtomicInteger queuedCalls = new AtomicInteger();
     private final ExecutorService executor;
     private final StoreClient client;
     private final Executor callbackExecutor;
@@ -50,10 +56,18 @@
     @Override
     public void call(
             ObjectNode call, double timeoutSeconds, Consumer<StoreClient.Outcome> listener) {
+        if (queuedCalls.get() >= MAX_QUEUED_CALLS) {
+            ObjectNode answer = JsonMessages.newObject().put("reason", "busy");
+            callbackExecutor.execute(
+                    () -> listener.accept(new StoreClient.Outcome("refused", answer)));
+            return;
+        }
+        queuedCalls.incrementAndGet();
         try {
             executor.execute(
                     () -> {
                         StoreClient.Outcome outcome = client.call(call, timeoutSeconds);
+                        queuedCalls.decrementAndGet();
                         callbackExecutor.execute(() -> listener.accept(outcome));
                     });
         } catch (RejectedExecutionException e) {
--- a/hosted/src/main/java/embershift/hosted/CallHandler.java
+++ b/hosted/src/main/java/embershift/hosted/CallHandler.java
@@ -87,7 +87,7 @@
                             connection.registerCall(
                                     call.path("paged").asBoolean()
                                             ? pagedListener(connection, id, call)
-                                            : listener),
+                                            : unpagedListener(listener)),
                             call.path("prefix").asText());
             case "watch" ->
                     replica.watch(
@@ -146,6 +146,19 @@
         };
     }
 
+    /** Refuses a list of all items that does not fit into one answer. */
+    private static ResultListener unpagedListener(ResultListener listener) {
+        return (callId, result) ->
+                listener.completed(
+                        callId,
+                        result instanceof CallResult.Found found
+                                        && ListPage.after("", found.keyValues()).hasMore()
+                                ? new CallResult.Rejected(
+                                        CallResult.Reason.TOO_LARGE,
+                                        "the items fit into one answer only in pages")
+                                : result);
+    }
+
     private static void addMember(
             Instance instance,
             InboundConnection connection,
--- a/hosted/src/main/java/embershift/hosted/InboundConnection.java
+++ b/hosted/src/main/java/embershift/hosted/InboundConnection.java
@@ -21,6 +21,15 @@
 final class InboundConnection implements TcpConnection.Listener, NodeConnections.Channel {
     private static final Logger LOG = LoggerFactory.getLogger(InboundConnection.class);
     private static final int MAX_CONSECUTIVE_DROPS = 20;
+
+    /** Calls of one connection that may be unanswered; clients make one after the other. */
+    private static final int MAX_OPEN_CALLS = 64;
+
+    /** Frames handled in a row, and the time for that, before other connections get their turn. */
+    private static final int MAX_FRAMES_PER_TURN = 64;
+
+    private static final double TURN_SECONDS = 0.005;
+
     private final Instance instance;
     private final TcpConnection connection;
     private final FrameCodec frames = new FrameCodec();
@@ -29,24 +38,80 @@
     private String peerAddress = "";
     private NodeConnections.NodeConnection node;
     private int consecutiveDrops;
+
+    /** Whether no frames are handled at present, because of unread answers or others' turns. */
+    private boolean isPaused;
+
     private final Set<Long> openCallIds = new LinkedHashSet<>();
 
     InboundConnection(Instance instance, TcpConnection connection) {
         this.instance = instance;
         this.connection = connection;
-        instance.callers().add(this);
+        instance.inboundConnections().addCaller(this);
         connection.setListener(this);
     }
 
     @Override
     public void received(ByteBuffer bytes) {
         instance.runGuarded(instance::catchUpTicks);
+        if (isPaused) {
+            // Not reading: these are the last bytes of a connection that is lost.
+            return;
+        }
+        frames.append(bytes);
+        handleFrames();
+    }
+
+    /** Handles complete frames, until this turn is over or answers are not taken. */
+    private void handleFrames() {
+        InboundConnections connections = instance.inboundConnections();
+        double turnStartedAt = instance.now();
         try {
-            frames.decode(bytes, frame -> instance.runGuarded(() -> handleFrame(frame)));
+            for (int handled = 0; !connection.isClosed(); handled++) {
+                if (connection.hasPendingWrites()) {
+                    pause();
+                    break;
+                }
+                if (handled == MAX_FRAMES_PER_TURN
+                        || instance.now() - turnStartedAt > TURN_SECONDS) {
+                    pause();
+                    instance.executeLater(this::resume);
+                    break;
+                }
+                byte[] frame = frames.next();
+                if (frame == null) {
+                    break;
+                }
+                connections.frameCompleted(this);
+                instance.runGuarded(() -> handleFrame(frame));
+            }
         } catch (FrameCodec.MalformedFrameException e) {
             instance.count("connections with unreadable bytes");
             close();
         }
+        if (!connection.isClosed()) {
+            connections.recordIncompleteFrame(
+                    this, isPaused ? 0 : frames.allocatedBytes(), instance.now());
+        }
+    }
+
+    private void pause() {
+        isPaused = true;
+        connection.setReading(false);
+    }
+
+    private void resume() {
+        if (isPaused && !connection.isClosed() && !connection.hasPendingWrites()) {
+            isPaused = false;
+            connection.setReading(true);
+            handleFrames();
+        }
+    }
+
+    @Override
+    public void flushed() {
+        instance.inboundConnections().recordUnreadAnswers(this, 0, instance.now());
+        resume();
     }
 
     private void handleFrame(byte[] frame) {
@@ -71,7 +136,11 @@
 
     private void handleNodeMessage(ObjectNode message) throws FrameCodec.MalformedFrameException {
         if (node == null && message.path("kind").asText().equals("here")) {
-            instance.callers().remove(this);
+            if (!instance.inboundConnections().becomeNode(this)) {
+                instance.count("nodes refused as too many");
+                close();
+                return;
+            }
             node = instance.tasks().nodes().handleHello(this, message);
         } else if (node != null) {
             instance.tasks().nodes().handleMessage(node, message);
@@ -96,12 +165,13 @@
             }
         } else {
             consecutiveDrops = 0;
+            recordUnreadAnswers();
         }
     }
 
     @Override
     public void closeGracefully() {
-        instance.callers().remove(this);
+        instance.inboundConnections().remove(this);
         connection.closeGracefully();
     }
 
@@ -118,7 +188,7 @@
                     FrameCodec.encode(
                             FrameCodec.HANDSHAKE_REJECTED,
                             rejection.getBytes(StandardCharsets.UTF_8)));
-            instance.callers().remove(this);
+            instance.inboundConnections().remove(this);
             connection.closeGracefully();
             return;
         }
@@ -130,13 +200,7 @@
             peer = handshake.sender();
             peerName = handshake.senderName();
             peerAddress = handshake.senderAddress();
-            instance.callers().remove(this);
-            InboundConnection previous = instance.inboundPeers().put(peer, this);
-            if (previous != null) {
-                // What it still holds is from an earlier run of the sender, or the sender
-                // abandoned it.
-                previous.close();
-            }
+            instance.inboundConnections().becomePeer(peer, this, instance.members());
         }
         connection.write(
                 FrameCodec.encode(
@@ -178,7 +242,7 @@
     }
 
     private void handleRaftMessage(byte[] frame) throws FrameCodec.MalformedFrameException {
-        if (peer == null || instance.inboundPeers().get(peer) != this) {
+        if (peer == null || instance.inboundConnections().peer(peer) != this) {
             throw new FrameCodec.MalformedFrameException("Raft message without a handshake");
         }
         instance.count("messages taken");
@@ -198,14 +262,41 @@
     }
 
     void sendAnswer(ObjectNode answer) {
+        if (connection.isClosed()) {
+            return;
+        }
+        if (!connection.write(FrameCodec.encode(FrameCodec.ANSWER, JsonMessages.encode(answer)))) {
+            // The client has left: what it has sent and nobody has read is not carried out.
+            abandon("connections lost with answers");
+            return;
+        }
+        recordUnreadAnswers();
+    }
+
+    private void recordUnreadAnswers() {
+        instance.inboundConnections()
+                .recordUnreadAnswers(this, connection.pendingBytes(), instance.now());
+    }
+
+    /** Closes this connection from within a call of the replica or of its group of connections. */
+    void abandon(String counter) {
         if (!connection.isClosed()) {
-            connection.write(FrameCodec.encode(FrameCodec.ANSWER, JsonMessages.encode(answer)));
+            instance.count(counter);
+            connection.close();
+            instance.executeLater(this::close);
         }
     }
 
+    boolean hasOpenCalls() {
+        return !openCallIds.isEmpty();
+    }
+
     long registerCall(CallHandler.ResultListener listener) {
         long callId = instance.registerCall(listener);
         openCallIds.add(callId);
+        if (openCallIds.size() > MAX_OPEN_CALLS) {
+            abandon("callers with too many unanswered calls");
+        }
         return callId;
     }
 
@@ -215,10 +306,7 @@
 
     @Override
     public void close() {
-        instance.callers().remove(this);
-        if (peer != null) {
-            instance.inboundPeers().remove(peer, this);
-        }
+        instance.inboundConnections().remove(this);
         if (node != null) {
             instance.tasks().nodes().remove(node);
         }
--- a/hosted/src/main/java/embershift/hosted/Instance.java
+++ b/hosted/src/main/java/embershift/hosted/Instance.java
@@ -27,7 +27,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,6 +35,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -79,12 +79,9 @@
     private boolean isDiskFull;
     private final Map<MemberId, PeerConnection> peers = new HashMap<>();
 
-    /** The newest connection from each other instance; only this one is read. */
-    private final Map<MemberId, InboundConnection> inboundPeers = new HashMap<>();
-
     private final Map<Long, CallHandler.ResultListener> pendingCalls = new HashMap<>();
     private long lastCallId;
-    private final Set<InboundConnection> callers = new LinkedHashSet<>();
+    private final InboundConnections inboundConnections;
     private final TreeMap<String, Long> counters = new TreeMap<>();
     private final CountDownLatch shutdownComplete = new CountDownLatch(1);
 
@@ -102,6 +99,9 @@
         identity = Identity.loadOrCreate(disk);
         persistence = RaftPersistence.open(disk, settings.limits().maxLogFileBytes());
         RecoveredState recovered = persistence.takeRecovered();
+        inboundConnections =
+                new InboundConnections(
+                        settings.limits().maxCallers(), Runtime.getRuntime().maxMemory());
         tickSeconds = settings.timing().tickSeconds();
         embershift.raft.RaftTiming timing = settings.timing().toRaftTiming();
         maxCatchUpTicks = 3 * timing.electionTicks();
@@ -227,6 +227,7 @@
             addresses.add(member.id().equals(leader) ? 0 : addresses.size(), address);
         }
         instanceAddresses = List.copyOf(addresses);
+        inboundConnections.closeOverdue(loop.now());
         loop.schedule(ADDRESS_REFRESH_SECONDS, this::refreshAddresses);
     }
 
@@ -316,7 +317,7 @@
     public void send(MemberId to, RaftMessage message) {
         Member member = replica.raft().membership().find(to).orElse(null);
         if (member == null) {
-            InboundConnection inbound = inboundPeers.get(to);
+            InboundConnection inbound = inboundConnections.peer(to);
             // An instance that is still joining knows no members: it answers at the address that
             // the sender gave in its handshake.
             member =
@@ -477,12 +478,9 @@
         }
     }
 
-    /** Closes the oldest caller connections until one more is within the limit. */
     private boolean makeRoomForConnection() {
-        while (callers.size() >= settings.limits().maxCallers()) {
-            InboundConnection oldest = callers.iterator().next();
+        for (int closed = inboundConnections.makeRoomForCaller(); closed > 0; closed--) {
             count("callers that gave way");
-            oldest.close();
         }
         return true;
     }
@@ -517,14 +515,19 @@
         replica.cancelCall(callId);
     }
 
-    /** Connections that are neither of other instances nor of nodes, oldest first. */
-    Set<InboundConnection> callers() {
-        return callers;
+    InboundConnections inboundConnections() {
+        return inboundConnections;
+    }
+
+    Set<MemberId> members() {
+        return replica.raft().membership().members().stream()
+                .map(Member::id)
+                .collect(Collectors.toSet());
     }
 
-    /** The connection of each other instance that is read. */
-    Map<MemberId, InboundConnection> inboundPeers() {
-        return inboundPeers;
+    /** Runs an action on the event loop after the work in progress. */
+    void executeLater(Runnable action) {
+        loop.execute(action);
     }
 
     /** The tasks, or null at the very start. */
--- a/hosted/src/main/java/embershift/hosted/ListPage.java
+++ b/hosted/src/main/java/embershift/hosted/ListPage.java
@@ -13,11 +13,14 @@
 record ListPage(List<KeyValue> items, boolean hasMore) {
 
     /**
-     * Characters of keys and values from which a page is complete. With one more item, and with
-     * what JSON escapes, it stays below the size of a frame.
+     * Characters of items from which a page is complete. With one more item, and with what JSON
+     * escapes, it stays below the size of a frame.
      */
     static final int MAX_CHARS = 512 << 10;
 
+    /** Characters that are counted for each item in addition to its key and value. */
+    private static final int ITEM_CHARS = 128;
+
     /** Returns the first page of the items, which are sorted, whose key is after this one. */
     static ListPage after(String key, Collection<KeyValue> sorted) {
         List<KeyValue> items = new ArrayList<>();
@@ -30,7 +33,7 @@
                 return new ListPage(items, true);
             }
             items.add(item);
-            chars += item.key().length() + item.value().length();
+            chars += ITEM_CHARS + item.key().length() + item.value().length();
         }
         return new ListPage(items, false);
     }
--- a/hosted/src/main/java/embershift/hosted/NodeConnections.java
+++ b/hosted/src/main/java/embershift/hosted/NodeConnections.java
@@ -45,6 +45,9 @@
     /** The most orders to one node that may be unanswered. */
     private static final int MAX_PENDING_ORDERS = 64;
 
+    /** Names of nodes that may be registered; further ones wait until some are forgotten. */
+    static final int MAX_REGISTERED_NODES = 4096;
+
     static final String NODE_PREFIX = "node/";
     static final String SHUT_OUT_PREFIX = "out/";
 
@@ -88,6 +91,7 @@
         private double lastHeardAt;
         private JsonNode report = JsonMessages.newObject();
         private boolean isWelcomed;
+        private boolean isStoringAuditSegment;
         private final Map<Long, PendingOrder> pendingOrders = new HashMap<>();
 
         private NodeConnection(
@@ -256,6 +260,10 @@
         KeyValue registration = store.get().find(NODE_PREFIX + name).orElse(null);
         if (node.incarnation > 0 || (registration != null && registration.value().equals(bootId))) {
             welcome(node, node.incarnation > 0 ? node.incarnation : registration.revision());
+        } else if (registration == null
+                && store.get().findByPrefix(NODE_PREFIX).size() >= MAX_REGISTERED_NODES) {
+            LOG.warn("too many nodes are registered", kv("node", name));
+            connection.close();
         } else {
             register(node, registration == null ? Precondition.ABSENT : registration.revision());
         }
@@ -355,7 +363,8 @@
 
     /**
      * Stores a segment of the node's audit log and then acknowledges it. The precondition stores it
-     * only once however often it arrives.
+     * only once however often it arrives. The node repeats a segment that is not acknowledged; one
+     * that arrives while another is being stored is dropped.
      */
     private void storeAuditSegment(NodeConnection node, ObjectNode message) {
         AuditSegment segment = AuditSegment.decode(message.path("text").asText()).orElse(null);
@@ -367,12 +376,17 @@
                     kv("node", node.name));
             return;
         }
+        if (node.isStoringAuditSegment) {
+            return;
+        }
+        node.isStoringAuditSegment = true;
         auditClient.call(
                 AsyncStoreClient.newTransaction(
                         List.of(new Precondition(segment.key(), 0)),
                         List.of(Mutation.put(segment.key(), segment.encode()))),
                 CALL_TIMEOUT_SECONDS,
                 outcome -> {
+                    node.isStoringAuditSegment = false;
                     if (outcome.isDone() || outcome.reason().equals("condition")) {
                         node.send(JsonMessages.newMessage("kept").put("number", segment.number()));
                     }
--- a/node/src/main/java/embershift/transport/TcpConnection.java
+++ b/node/src/main/java/embershift/transport/TcpConnection.java
@@ -70,6 +70,7 @@
     private StreamConnection connection;
     private IoFuture<StreamConnection> connectFuture;
     private Deque<ByteBuffer> pendingWrites;
+    private long pendingBytes;
     private boolean reading = true;
     private boolean shutdownAfterFlush;
     private boolean outputShutdown;
@@ -260,6 +261,7 @@
             int count = Math.min(bytes.remaining(), last.capacity() - last.limit());
             last.position(last.limit()).limit(last.limit() + count);
             last.put(bytes.slice().limit(count));
+            pendingBytes += count;
             last.position(readPosition);
             bytes.position(bytes.position() + count);
         }
@@ -275,7 +277,9 @@
         try {
             while (pendingWrites != null) {
                 ByteBuffer first = pendingWrites.peek();
-                if (first.hasRemaining() && sink.write(first) == 0) {
+                int written = first.hasRemaining() ? sink.write(first) : 0;
+                pendingBytes -= written;
+                if (first.hasRemaining() && written == 0) {
                     return;
                 }
                 if (!first.hasRemaining()) {
@@ -304,6 +308,11 @@
         return pendingWrites != null;
     }
 
+    /** Returns how many bytes of written data are waiting to be accepted by the socket. */
+    public long pendingBytes() {
+        return pendingBytes;
+    }
+
     /** Returns whether the peer has shut down its output. */
     public boolean inputEnded() {
         return inputEnded;
@@ -401,6 +410,7 @@
         if (pendingWrites != null) {
             pendingWrites.forEach(loop.buffers()::release);
             pendingWrites = null;
+            pendingBytes = 0;
         }
         if (connectFuture != null) {
             connectFuture.cancel();
