Refuse ids of once-only tunnels that may have run, in all processes at an address

Cause: Router held an id only while its tunnel was there, in one process. When a client left, its id could come again while the setup that had been sent ran: 366 of 627 ran twice.

A claim ends with its tunnel only if each setup provably never ran.

--- a/node/src/main/java/embershift/program/NodeProcess.java
+++ b/node/src/main/java/embershift/program/NodeProcess.java
@@ -8,6 +8,7 @@
 import embershift.protocol.MalformedDataException;
 import embershift.protocol.NodeConfiguration;
 import embershift.routing.Router;
+import embershift.routing.UsedTunnelIds;
 import embershift.signals.Signals;
 import embershift.transport.EventLoop;
 import java.io.IOException;
@@ -143,7 +144,9 @@
                 siblings.claimSlot();
                 requireNoOtherDeployment();
                 ejections.applyStored(siblings.read());
-                applyStatuses(siblings.exchange(status()));
+                List<SiblingProcesses.ProcessStatus> others = siblings.exchange(status());
+                applyStatuses(others);
+                shareUsedIds(others.isEmpty());
                 loop.schedule(SIBLING_POLL_SECONDS, this::pollSiblings);
             }
             enter(Phase.SERVING);
@@ -154,6 +157,26 @@
         }
     }
 
+    /**
+     * Shares the ids of tunnels that must not be set up twice with the processes at this address. A
+     * process that serves alone keeps those of the last one, which may still be shutting down.
+     */
+    private void shareUsedIds(boolean isAlone) {
+        try {
+            UsedTunnelIds ids =
+                    UsedIdsFile.open(
+                            System.getenv("TMPDIR"),
+                            Addresses.format(startConfiguration.listen()),
+                            startConfiguration.deploymentIdentity());
+            if (isAlone) {
+                ids.forgetBefore(loop.now() - maxShutdownSeconds());
+            }
+            router.shareUsedIds(ids);
+        } catch (IOException | RuntimeException e) {
+            log.line("ids of tunnels are not shared with other processes: " + e);
+        }
+    }
+
     private void requireNoOtherDeployment() throws IOException {
         if (siblings != null && siblings.hasOtherDeployment()) {
             throw new IOException(
--- a/node/src/main/java/embershift/program/SiblingProcesses.java
+++ b/node/src/main/java/embershift/program/SiblingProcesses.java
@@ -104,10 +104,12 @@
 
     /** The start of the file names of the lists that a deployment's node at this address writes. */
     static String listPrefix(String address, String deployment) {
-        return fileNamePrefix(address)
-                + "."
-                + Integer.toHexString(deploymentHash(deployment))
-                + ".bans.";
+        return fileNamePrefix(address, deployment) + ".bans.";
+    }
+
+    /** The start of the names of all files of a deployment's node at this address. */
+    static String fileNamePrefix(String address, String deployment) {
+        return fileNamePrefix(address) + "." + Integer.toHexString(deploymentHash(deployment));
     }
 
     /**
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -112,6 +112,10 @@
     private final Map<TunnelId, TunnelRelay> relays = new HashMap<>();
 
     private final Set<TunnelId> idsInUse = new HashSet<>();
+
+    /** Ids of tunnels that are not to be set up twice, also by other processes at this address. */
+    private UsedTunnelIds usedIds = UsedTunnelIds.ofThisProcess();
+
     private long relayCount;
     private final Map<HostId, HostEndpoint> endpoints = new HashMap<>();
 
@@ -572,8 +576,26 @@
         neededHostConnections += needed ? 1 : -1;
     }
 
-    boolean knows(TunnelId id) {
-        return idsInUse.contains(id);
+    /** Sets the table of used ids that this process shares with others at its address. */
+    public void shareUsedIds(UsedTunnelIds shared) {
+        usedIds = shared;
+    }
+
+    /**
+     * Claims the id of a request; returns false if a tunnel here has it, or one that may not be set
+     * up twice has or had it, here or at another process, unless it provably never ran (rule 2).
+     */
+    boolean claimId(OpenRequest request) {
+        return !idsInUse.contains(request.id())
+                && (!mustRunOnce(request) || usedIds.claim(request.id().name(), now()));
+    }
+
+    /** One that was open before this node started is only resumed. */
+    private boolean mustRunOnce(OpenRequest request) {
+        return request.resumeHost() == null
+                && profile(request.profile())
+                        .filter(profile -> profile.repeat() != Deployment.Repeat.REPEATABLE)
+                        .isPresent();
     }
 
     /**
@@ -688,6 +710,9 @@
         if (relays.remove(relay.id()) != null) {
             idsInUse.remove(relay.openRequest().id());
             unresumed.remove(relay);
+            if (mustRunOnce(relay.openRequest()) && !relay.mayHaveRun()) {
+                usedIds.release(relay.openRequest().id().name());
+            }
         }
     }
 
--- a/node/src/main/java/embershift/routing/TunnelRelay.java
+++ b/node/src/main/java/embershift/routing/TunnelRelay.java
@@ -77,6 +77,9 @@
      */
     private double repeatableUntil = Double.POSITIVE_INFINITY;
 
+    /** Whether a setup that has ended may have run at its host. */
+    private boolean setupMayHaveRun;
+
     private HostLineTracker hostLineTracker;
     private PartialLineBuffer partialLineBuffer;
 
@@ -119,7 +122,7 @@
             throw new MalformedDataException("a connection begins with OPEN or PING");
         }
         openRequest = OpenRequest.parse(line);
-        if (router.knows(openRequest.id())) {
+        if (!router.claimId(openRequest)) {
             openRequest = null;
             throw new MalformedDataException("this id has been used");
         }
@@ -218,6 +221,11 @@
         return openRequest;
     }
 
+    /** Whether a setup of this tunnel has run at a host, or may have or may yet. */
+    boolean mayHaveRun() {
+        return setupMayHaveRun || (setup != null && setup.mayHaveRun());
+    }
+
     TunnelId id() {
         return id;
     }
@@ -621,6 +629,11 @@
             }
         }
 
+        /** Whether this setup has reached the host and its outcome is not known. */
+        boolean mayHaveRun() {
+            return firstLineWritten && !resolved;
+        }
+
         /** How far the setup has come, as part of a counter's name. */
         String stage() {
             return isResuming()
@@ -702,6 +715,7 @@
                 return;
             }
             if (!outcome.neverRan()) {
+                setupMayHaveRun = true;
                 repeatableUntil = firstSetupSentAt + router.repeatWindow(openRequest.profile());
             }
             reportSetupEnd(this, outcome, report, state != State.PENDING);
@@ -751,6 +765,7 @@
                 return;
             }
             resolved = true;
+            setupMayHaveRun = true;
             lineReader = null;
             timer.cancel();
             answerTimer.cancel();
--- a/node/src/test/java/embershift/program/ReplaceTest.java
+++ b/node/src/test/java/embershift/program/ReplaceTest.java
@@ -67,11 +67,17 @@
 
     /** Starts a process, with {@code extraSettings} in front of the usual ones. */
     private Process start(int port, int management, String extraSettings) throws IOException {
+        return start(port, management, extraSettings, "\"idempotent\"");
+    }
+
+    private Process start(int port, int management, String extraSettings, String repeat)
+            throws IOException {
         Path file = folder.resolve("configuration-" + management + ".json");
         Files.writeString(
                 file,
                 ServeTest.configuration(host.getLocalPort(), 9)
                         .replace("127.0.0.1:0", "127.0.0.1:" + port)
+                        .replace("\"idempotent\"", repeat)
                         .replace("\"balancers\"", extraSettings + "\"balancers\""));
         ProcessBuilder builder = ServeTest.builder("serve", "--configuration", file.toString());
         builder.environment().put("LB_MANAGEMENT", "127.0.0.1:" + management);
@@ -135,6 +141,28 @@
         return ServeTest.reader(client.getInputStream()).readLine();
     }
 
+    /** Guards against issue 67 (c): an id ran at each of the two processes of an upgrade. */
+    @Test
+    public void idOfOnceOnlyTunnelIsServedByOneOfTwoProcesses() throws Exception {
+        acceptTunnels();
+        int port = freePort();
+        int[] managements = {freePort(), freePort()};
+        for (int management : managements) {
+            start(port, management, "", "\"at_most_once\"");
+            awaitReady(management);
+        }
+        int served = 0;
+        for (int i = 0; i < 40; i++) {
+            for (int time = 0; time < 4; time++) {
+                // The system gives each connection to one of the processes.
+                try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                    served += openTunnel(client, "id-" + i).startsWith("UP ") ? 1 : 0;
+                }
+            }
+        }
+        assertEquals(served, 40);
+    }
+
     @Test
     public void clientsAreServedWithoutAGapWhileOneProcessReplacesTheOther() throws Exception {
         acceptTunnels();
