Receive at most 64 datagrams before other sockets have their turn

Cause: DatagramEndpoint.receive went on until no datagram was left.

Change: 64 datagrams, then the other sockets and tasks; the rest is reported as ready again.

Measured: DatagramTurnTest, whose datagrams arrive while the one before is handled, waits in vain for a task of the loop for 10 s without the change and passes with it.

--- a/node/src/main/java/embershift/transport/DatagramEndpoint.java
+++ b/node/src/main/java/embershift/transport/DatagramEndpoint.java
@@ -16,6 +16,9 @@
      */
     private static final int BUFFER_BYTES = 2048;
 
+    /** Datagrams received in a row before other sockets are served. */
+    private static final int MAX_DATAGRAMS_PER_TURN = 64;
+
     /** Receives the datagrams that arrive. */
     public interface Handler {
         /** A datagram arrived from this address. */
@@ -34,7 +37,8 @@
 
     private void receive(Handler handler) {
         try {
-            while (true) {
+            // What is left is reported as ready again, after the other sockets.
+            for (int i = 0; i < MAX_DATAGRAMS_PER_TURN; i++) {
                 buffer.clear();
                 addresses.setSourceAddress(null);
                 if (channel.receiveFrom(addresses, buffer) <= 0
