--- a/node/src/main/java/embershift/protocol/HttpResponseParser.java
+++ b/node/src/main/java/embershift/protocol/HttpResponseParser.java
@@ -7,7 +7,7 @@
 /** Incremental parser of one HTTP/1.1 response. */
 public final class HttpResponseParser extends HttpMessageParser {
 
-    private static final int MAX_BODY_BYTES = 8 << 20;
+    private static final int MAX_BODY_BYTES = 4 << 20;
 
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
     private int status;
--- a/node/src/main/java/embershift/protocol/Json.java
+++ b/node/src/main/java/embershift/protocol/Json.java
@@ -10,8 +10,15 @@
 
     private static final int MAX_DEPTH = 64;
 
+    /**
+     * Values in one text, which bounds the memory that it takes: a list of 4,000 hosts has a third
+     * of that.
+     */
+    static final int MAX_VALUES = 100_000;
+
     private final String text;
     private int position;
+    private int valueCount;
 
     private Json(String text) {
         this.text = text;
@@ -51,6 +58,9 @@
         if (depth > MAX_DEPTH) {
             throw malformed("at most " + MAX_DEPTH + " levels of nesting");
         }
+        if (++valueCount > MAX_VALUES) {
+            throw malformed("at most " + MAX_VALUES + " values");
+        }
         char first = next("a value");
         return switch (first) {
             case '{' -> object(depth);
--- a/node/src/test/java/embershift/protocol/ProtocolTest.java
+++ b/node/src/test/java/embershift/protocol/ProtocolTest.java
@@ -269,6 +269,14 @@
                         Map.of()));
     }
 
+    /** Guards against issue 67 (a): very many short fields took all memory. */
+    @Test
+    public void jsonOfTooManyValuesIsRejected() throws MalformedDataException {
+        String values = ",1".repeat(Json.MAX_VALUES - 2);
+        Json.parse("[1" + values + "]");
+        assertThrows(MalformedDataException.class, () -> Json.parse("[1,1" + values + "]"));
+    }
+
     @Test
     public void tooDeeplyNestedJsonIsRejected() {
         assertThrows(MalformedDataException.class, () -> Json.parse("[".repeat(100_000)));
