Catch up ticks before deferred frames; count buffers of paused connections

Change: ticks are caught up before frames are handled, whenever that is; all buffers count but the small ones of idle connections. A queued call no longer counts as waiting once it is under way.

--- a/door/src/main/java/embershift/door/FrameCodec.java
+++ b/door/src/main/java/embershift/door/FrameCodec.java
@@ -124,9 +124,14 @@
         }
     }
 
-    /** Returns the memory that an incomplete frame takes, in bytes; 0 if there is none. */
+    /**
+     * Returns the memory that received bytes take; 0 if there are none and only what an idle
+     * connection may keep.
+     */
     public int allocatedBytes() {
-        return buffered.position() == readIndex ? 0 : buffered.capacity();
+        boolean isIdle =
+                buffered.position() == readIndex && buffered.capacity() <= MAX_IDLE_BUFFER_BYTES;
+        return isIdle ? 0 : buffered.capacity();
     }
 
     /** Encodes a frame. */
--- a/hosted/src/main/java/embershift/hosted/AsyncStoreClient.java
+++ b/hosted/src/main/java/embershift/hosted/AsyncStoreClient.java
@@ -66,8 +66,8 @@
         try {
             executor.execute(
                     () -> {
-                        StoreClient.Outcome outcome = client.call(call, timeoutSeconds);
                         queuedCalls.decrementAndGet();
+                        StoreClient.Outcome outcome = client.call(call, timeoutSeconds);
                         callbackExecutor.execute(() -> listener.accept(outcome));
                     });
         } catch (RejectedExecutionException e) {
--- a/hosted/src/main/java/embershift/hosted/InboundConnection.java
+++ b/hosted/src/main/java/embershift/hosted/InboundConnection.java
@@ -53,7 +53,6 @@
 
     @Override
     public void received(ByteBuffer bytes) {
-        instance.runGuarded(instance::catchUpTicks);
         if (isPaused) {
             // Not reading: these are the last bytes of a connection that is lost.
             return;
@@ -64,6 +63,7 @@
 
     /** Handles complete frames, until this turn is over or answers are not taken. */
     private void handleFrames() {
+        instance.runGuarded(instance::catchUpTicks);
         InboundConnections connections = instance.inboundConnections();
         double turnStartedAt = instance.now();
         try {
@@ -90,8 +90,7 @@
             close();
         }
         if (!connection.isClosed()) {
-            connections.recordIncompleteFrame(
-                    this, isPaused ? 0 : frames.allocatedBytes(), instance.now());
+            connections.recordIncompleteFrame(this, frames.allocatedBytes(), instance.now());
         }
     }
 
