Record no bytes of connections that the instance has ended itself

Cause, found by reading the change once more: after a graceful close, as of a refused handshake, the rest of the same read was still handled and recorded as an incomplete frame. The connection had been forgotten by then, so its bytes counted for good, and the largest frame of a caller that behaves gave way.

Change: a connection that is ending handles and records nothing more; the refusal calls closeGracefully in place of repeating it.

--- a/hosted/src/main/java/embershift/hosted/InboundConnection.java
+++ b/hosted/src/main/java/embershift/hosted/InboundConnection.java
@@ -42,6 +42,9 @@
     /** Whether no frames are handled at present, because of unread answers or others' turns. */
     private boolean isPaused;
 
+    /** Whether this side has ended the connection, and only unsent messages keep it open. */
+    private boolean isEnding;
+
     private final Set<Long> openCallIds = new LinkedHashSet<>();
 
     InboundConnection(Instance instance, TcpConnection connection) {
@@ -67,7 +70,7 @@
         InboundConnections connections = instance.inboundConnections();
         double turnStartedAt = instance.now();
         try {
-            for (int handled = 0; !connection.isClosed(); handled++) {
+            for (int handled = 0; !isEnding && !connection.isClosed(); handled++) {
                 if (connection.hasPendingWrites()) {
                     pause();
                     break;
@@ -89,7 +92,7 @@
             instance.count("connections with unreadable bytes");
             close();
         }
-        if (!connection.isClosed()) {
+        if (!isEnding && !connection.isClosed()) {
             connections.recordIncompleteFrame(this, frames.allocatedBytes(), instance.now());
         }
     }
@@ -170,6 +173,7 @@
 
     @Override
     public void closeGracefully() {
+        isEnding = true;
         instance.inboundConnections().remove(this);
         connection.closeGracefully();
     }
@@ -187,8 +191,7 @@
                     FrameCodec.encode(
                             FrameCodec.HANDSHAKE_REJECTED,
                             rejection.getBytes(StandardCharsets.UTF_8)));
-            instance.inboundConnections().remove(this);
-            connection.closeGracefully();
+            closeGracefully();
             return;
         }
         if (handshake.recipient().number() != 0) {
@@ -273,8 +276,10 @@
     }
 
     private void recordUnreadAnswers() {
-        instance.inboundConnections()
-                .recordUnreadAnswers(this, connection.pendingBytes(), instance.now());
+        if (!isEnding) {
+            instance.inboundConnections()
+                    .recordUnreadAnswers(this, connection.pendingBytes(), instance.now());
+        }
     }
 
     /** Closes this connection from within a call of the replica or of its group of connections. */
--- a/hosted/src/test/java/embershift/hosted/ConnectionLimitsTest.java
+++ b/hosted/src/test/java/embershift/hosted/ConnectionLimitsTest.java
@@ -9,6 +9,7 @@
 import embershift.door.JsonMessages;
 import embershift.fleet.audit.AuditEntry;
 import embershift.fleet.audit.AuditLog;
+import embershift.raft.MemberId;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -157,6 +158,31 @@
         assertOthersAreAnswered(1);
     }
 
+    @Test
+    public void refusedConnectionsLeaveTheMemoryOfIncompleteFramesToOthers() throws Exception {
+        ByteBuffer refused =
+                FrameCodec.encode(
+                        FrameCodec.HANDSHAKE,
+                        Handshake.of(7, new MemberId(5), "i5", new MemberId(6), "h:1").encode());
+        byte[] handshakeAndHalf = new byte[12 << 10];
+        int length = refused.remaining();
+        refused.get(handshakeAndHalf, 0, length);
+        ByteBuffer.wrap(handshakeAndHalf).putInt(length, FrameCodec.MAX_CONTENT_BYTES);
+        for (int i = 0; i < 5 * CONNECTIONS; i++) {
+            try (Socket socket = connect()) {
+                socket.getOutputStream().write(handshakeAndHalf);
+                assertTrue(socket.getInputStream().read() >= 0, "the refusal");
+            }
+        }
+        byte[] call =
+                frame(StoreClient.newCall("status").put("id", 1).put("x", "x".repeat(2 << 20)));
+        Socket caller = connect();
+        caller.getOutputStream().write(call, 0, call.length / 2);
+        assertOthersAreAnswered(0.5);
+        caller.getOutputStream().write(call, call.length / 2, call.length - call.length / 2);
+        assertTrue(caller.getInputStream().read() >= 0, "the answer");
+    }
+
     @Test
     public void messageOfVeryManyShortFieldsIsRefused() throws Exception {
         StringBuilder fields = new StringBuilder("{\"call\":\"get\"");
