--- a/node/src/main/java/embershift/program/NodeProcess.java
+++ b/node/src/main/java/embershift/program/NodeProcess.java
@@ -51,12 +51,25 @@
     /** Seconds for which the last answers may still be sent. */
     private static final double FLUSH_SECONDS = 0.1;
 
+    /**
+     * Seconds from the start of the process after which it no longer waits for a current list of
+     * hosts: restarted nodes have to be ready within six seconds, also while discovery is down.
+     */
+    private static final double MAX_ROSTER_WAIT_SECONDS = 5.0;
+
+    /**
+     * Seconds for which it waits in any case, however long its start has taken: discovery answers
+     * within that time if it can be reached.
+     */
+    private static final double MIN_ROSTER_WAIT_SECONDS = 2.0;
+
     /** Reads the configuration, at the start and at each reload. */
     public interface ConfigurationSource {
         /** Returns the current configuration; fails if it is malformed or cannot be read. */
         NodeConfiguration read() throws MalformedDataException;
     }
 
+    private final long createdAtNanos = System.nanoTime();
     private final ConfigurationSource source;
     private final Log log;
     private final NodeConfiguration startConfiguration;
@@ -137,6 +150,24 @@
                 startExtension();
             }
             requireNoOtherDeployment();
+            router.whenRosterIsCurrent(
+                    maxRosterWaitSeconds(), () -> listenForClients(listenAddress));
+        } catch (IOException | RuntimeException e) {
+            listenAddress.completeExceptionally(e);
+        }
+    }
+
+    private double maxRosterWaitSeconds() {
+        double elapsedSeconds = (System.nanoTime() - createdAtNanos) / 1e9;
+        return Math.max(MIN_ROSTER_WAIT_SECONDS, MAX_ROSTER_WAIT_SECONDS - elapsedSeconds);
+    }
+
+    /** The node accepts clients from now on, and reports that it is ready. */
+    private void listenForClients(CompletableFuture<InetSocketAddress> listenAddress) {
+        if (phase != Phase.STARTING) {
+            return;
+        }
+        try {
             InetSocketAddress address = router.listen(startConfiguration.listen());
             if (siblings != null) {
                 // Before the node reports that it is ready: after that the other process may be
@@ -350,7 +381,9 @@
     }
 
     private void shutDown(boolean isReplaced) {
-        if (phase == Phase.SERVING) {
+        if (phase == Phase.STARTING) {
+            endStart();
+        } else if (phase == Phase.SERVING) {
             enter(Phase.LEAVING);
             if (isReplaced) {
                 log.line("another process serves at this address");
@@ -365,6 +398,16 @@
         }
     }
 
+    /** Stops a node that waits for its first list of hosts: it has no clients yet. */
+    private void endStart() {
+        enter(Phase.CLOSING);
+        if (extension != null) {
+            extension.shutDown();
+        }
+        router.stop();
+        loop.schedule(FLUSH_SECONDS, this::stop);
+    }
+
     private void checkDrained() {
         double elapsed = loop.now() - shutdownStartedAt;
         if (elapsed > maxShutdownSeconds()
--- a/node/src/main/java/embershift/protocol/WatchSchedule.java
+++ b/node/src/main/java/embershift/protocol/WatchSchedule.java
@@ -53,6 +53,18 @@
     /** Factor by which the delay of early retries grows with each further failure. */
     private static final double RETRY_DELAY_GROWTH = 3;
 
+    /** Seconds for which calls are urgent, if none of them is answered before. */
+    private static final double URGENT_SECONDS = 4.0;
+
+    /**
+     * Maximum seconds between the starts of two urgent calls: if the first one falls silent, the
+     * second one is still answered within {@link #URGENT_SECONDS}.
+     */
+    private static final double MAX_URGENT_CALL_INTERVAL = 1.9;
+
+    /** Factor by which the delay of urgent retries grows with each further failure. */
+    private static final double URGENT_RETRY_DELAY_GROWTH = 1.5;
+
     private final boolean retriesEarly;
     private final DoubleSupplier random;
     private boolean calling;
@@ -62,6 +74,10 @@
     private double maxWait;
     private double nextActionAt = Double.POSITIVE_INFINITY;
     private int failures;
+    private double urgentUntil = Double.NEGATIVE_INFINITY;
+
+    /** Whether the latest call began while calls were urgent. */
+    private boolean isCallUrgent;
 
     /**
      * Creates a schedule.
@@ -75,6 +91,16 @@
         this.random = random;
     }
 
+    /**
+     * Makes the next calls urgent, until one of them is answered or a few seconds have passed: the
+     * node has to know soon what discovery lists, as after a start or a change of its address.
+     * Urgent calls must ask for the complete list, which is answered without waiting for changes.
+     */
+    public void beginUrgentCalls(double now) {
+        urgentUntil = now + URGENT_SECONDS;
+        failures = 0;
+    }
+
     /**
      * A call begins.
      *
@@ -84,25 +110,23 @@
         calling = true;
         callStartedAt = now;
         randomFraction = random.getAsDouble();
+        isCallUrgent = now < urgentUntil;
+        boolean hasWideJitter = !isCallUrgent && failures > 0 && failures <= WIDE_JITTER_FAILURES;
         callInterval =
-                MAX_CALL_INTERVAL
-                        * (1
-                                - (failures > 0 && failures <= WIDE_JITTER_FAILURES
-                                                ? WIDE_JITTER
-                                                : JITTER)
-                                        * (1 - randomFraction));
-        maxWait = persistent ? MAX_WAIT : Math.min(MAX_FIRST_WAIT, callInterval - QUEUEING_RESERVE);
-        nextActionAt = now + (persistent ? MAX_CALL_INTERVAL : callInterval);
+                (isCallUrgent ? MAX_URGENT_CALL_INTERVAL : MAX_CALL_INTERVAL)
+                        * (1 - (hasWideJitter ? WIDE_JITTER : JITTER) * (1 - randomFraction));
+        double firstWait = Math.min(MAX_FIRST_WAIT, callInterval - QUEUEING_RESERVE);
+        maxWait = persistent ? MAX_WAIT : Math.max(0, firstWait);
+        nextActionAt = now + (persistent && !isCallUrgent ? MAX_CALL_INTERVAL : callInterval);
     }
 
     /** The current call has failed, was refused or was given up. */
     public void callFailed(double now) {
         calling = false;
+        double growth = isCallUrgent ? URGENT_RETRY_DELAY_GROWTH : RETRY_DELAY_GROWTH;
         double delay =
-                retriesEarly
-                        ? FIRST_RETRY_DELAY
-                                * Math.pow(RETRY_DELAY_GROWTH, failures)
-                                * (0.5 + randomFraction)
+                retriesEarly || isCallUrgent
+                        ? FIRST_RETRY_DELAY * Math.pow(growth, failures) * (0.5 + randomFraction)
                         : MAX_CALL_INTERVAL;
         nextActionAt = Math.max(now, Math.min(now + delay, callStartedAt + callInterval));
         failures++;
@@ -116,6 +140,7 @@
     public void callAnswered(double now, boolean changed) {
         calling = false;
         failures = 0;
+        urgentUntil = Double.NEGATIVE_INFINITY;
         // Guards against a discovery that does not wait: calls would follow as fast as it answers.
         nextActionAt = changed || !isEarly(now) ? now : now + EARLY_ANSWER_PAUSE;
     }
--- a/node/src/main/java/embershift/routing/RosterClient.java
+++ b/node/src/main/java/embershift/routing/RosterClient.java
@@ -77,6 +77,17 @@
         watch(true);
     }
 
+    /**
+     * Begins the watch of a node that has just started: asks for the full list, even if the
+     * generation of a list that the node remembers is known, and soon again if a call fails or
+     * falls silent.
+     */
+    void startWatch() {
+        fullListWanted = true;
+        schedule.beginUrgentCalls(router.now());
+        watch(true);
+    }
+
     InetSocketAddress address() {
         return address;
     }
@@ -235,7 +246,7 @@
                 (fullListWanted && !update.full() && !fullListRequested) || !coversAllChanges;
         schedule.callAnswered(router.now(), update.generation() != generation);
         generation = update.generation();
-        router.discoveryAnswered(update);
+        router.discoveryAnswered(update, !fullListWanted);
         if (external || (!watching && !fullListWanted)) {
             schedule.stop();
             scheduleNext();
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -136,6 +136,7 @@
     private final TimeoutQueue<TunnelRelay> closingTunnels = new TimeoutQueue<>(CLOSING_SECONDS);
 
     private final RosterClient rosterClient;
+    private final InitialRosterWait initialRosterWait;
     private final Peers peers;
     private ExternalRoster externalRoster;
     private final double connectTimeout;
@@ -197,6 +198,7 @@
                         configuration.discovery(),
                         !deployment.rosterOnRequest(),
                         deployment.seed());
+        initialRosterWait = new InitialRosterWait(loop, log);
         peers = new Peers(this, configuration);
         if (configuration.initialRoster() != null) {
             RosterUpdate known = configuration.initialRoster();
@@ -205,7 +207,7 @@
             enqueueEvent(events -> events.rosterReplaced(known.entries(), true));
         }
         if (!deployment.rosterOnRequest()) {
-            rosterClient.watch(true);
+            rosterClient.startWatch();
         }
         sweep();
     }
@@ -241,11 +243,34 @@
         loop.execute(() -> applyRoster(externalRoster.fullList()));
     }
 
-    void discoveryAnswered(RosterUpdate update) {
+    /** Applies an answer of discovery; the list is complete if no further call is needed. */
+    void discoveryAnswered(RosterUpdate update, boolean isComplete) {
         if (externalRoster != null) {
             externalRoster.discoveryAnswered(update.generation());
         }
         applyRoster(update);
+        if (isComplete) {
+            rosterConfirmed();
+        }
+    }
+
+    /**
+     * Runs an action once the node has a list of hosts that was confirmed since its start, but
+     * after {@code maxWaitSeconds} at the latest. Where changes of the list count as known without
+     * a request, a list that the node remembers from earlier must not be used for new tunnels
+     * before that; elsewhere the action is run at once.
+     */
+    public void whenRosterIsCurrent(double maxWaitSeconds, Runnable action) {
+        if (deployment.rosterOnRequest()) {
+            action.run();
+            return;
+        }
+        initialRosterWait.begin(maxWaitSeconds, action);
+    }
+
+    /** The applied list of hosts is what discovery listed at some time since this node started. */
+    public void rosterConfirmed() {
+        initialRosterWait.rosterConfirmed();
     }
 
     /** The address of discovery that is in use. */
