--- a/node/src/main/java/embershift/routing/RosterClient.java
+++ b/node/src/main/java/embershift/routing/RosterClient.java
@@ -74,6 +74,7 @@
         setAddress(next);
         stop();
         generation = -1;
+        schedule.beginUrgentCalls(router.now());
         watch(true);
     }
 
--- a/node/src/test/java/embershift/routing/RouterAcceptanceTest.java
+++ b/node/src/test/java/embershift/routing/RouterAcceptanceTest.java
@@ -359,4 +359,38 @@
         assertTrue(readLine(connectClient("OPEN j k c=p,d=500\r\n")).startsWith("BUSY"));
         assertNothingReceived(host, QUIET_PERIOD_MS);
     }
+
+    @DataProvider
+    public Object[][] rosterModes() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /**
+     * Guards against a new discovery whose first call falls silent: what it lists counts as known
+     * four seconds after the reload, and it may take two of these to answer the second call.
+     */
+    @Test(dataProvider = "rosterModes")
+    public void silentFirstCallAfterReloadIsReplacedWithinTwoSeconds(boolean isOnRequest)
+            throws Exception {
+        rosterOnRequest = isOnRequest;
+        settingOverrides = new String[] {"must-ask-in-s", "30"};
+        ServerSocket host = openServerSocket();
+        startRouter("1024", host);
+        Socket watch = accept(discovery);
+        readRequest(watch);
+        sendOkResponse(watch, rosterJson(9, true, rosterEntry(host, "in_service")));
+        readRequest(watch);
+        discovery = openServerSocket();
+        double reloadedAt = callOnLoop(loop::now);
+        reconfigure();
+        readRequest(accept(discovery));
+        Socket next = accept(discovery);
+        assertEquals(readRequest(next), "GET /api/targets HTTP/1.1");
+        double elapsed = callOnLoop(loop::now) - reloadedAt;
+        assertTrue(elapsed < 2, "called again after " + elapsed + " s");
+        sendOkResponse(next, rosterJson(1, true, rosterEntry(host, "terminating")));
+        readRequest(next);
+        assertTrue(readLine(connectClient("OPEN j k c=p,d=500\r\n")).startsWith("BUSY"));
+        assertNothingReceived(host, QUIET_PERIOD_MS);
+    }
 }
