--- a/door/src/main/java/embershift/door/EndpointFeed.java
+++ b/door/src/main/java/embershift/door/EndpointFeed.java
@@ -2,6 +2,8 @@
 
 import embershift.fleet.audit.AuditEntry;
 import embershift.fleet.endpoints.AppliedEndpoints;
+import embershift.fleet.endpoints.EndpointSourceSelector;
+import embershift.fleet.endpoints.EndpointSourceSelector.Source;
 import embershift.fleet.endpoints.EndpointUpdate;
 import embershift.fleet.lease.FencingToken;
 import embershift.model.HostId;
@@ -17,18 +19,14 @@
 
 /**
  * Supplies the published endpoint list to the node's router in place of discovery, and switches the
- * node back to discovery when no list arrives for some time.
+ * node back to discovery when discovery has not confirmed the list for some time.
  */
 final class EndpointFeed implements Router.ExternalRoster {
 
     private final NodeExtension.NodeContext node;
-    private final AgentSettings settings;
     private final AuditUploader auditLog;
-    private final Random random;
     private final AppliedEndpoints endpoints = new AppliedEndpoints();
-    private double lastUpdateAt = Double.NEGATIVE_INFINITY;
-    private boolean usesPublishedList;
-    private boolean isFallbackDue;
+    private final EndpointSourceSelector selector;
 
     EndpointFeed(
             NodeExtension.NodeContext node,
@@ -36,14 +34,18 @@
             AuditUploader auditLog,
             Random random) {
         this.node = node;
-        this.settings = settings;
         this.auditLog = auditLog;
-        this.random = random;
+        selector =
+                new EndpointSourceSelector(
+                        node.loop().now(),
+                        settings.listTimeoutSeconds(),
+                        settings.listTimeoutJitterSeconds(),
+                        random::nextDouble);
     }
 
     /** Whether the node uses published lists instead of polling discovery. */
     boolean usesPublishedList() {
-        return usesPublishedList;
+        return selector.source() == Source.PUBLISHED;
     }
 
     FencingToken token() {
@@ -54,60 +56,68 @@
         return endpoints.number();
     }
 
-    void tick(double now) {
-        if (!usesPublishedList || now - lastUpdateAt <= settings.listTimeoutSeconds()) {
-            return;
-        }
-        usesPublishedList = false;
-        isFallbackDue = true;
-        // Jittered, as the task's holder may have failed for all nodes at once.
-        node.loop()
-                .schedule(
-                        settings.listTimeoutJitterSeconds() * random.nextDouble(),
-                        this::fallBackToDiscovery);
+    /** Returns how many seconds ago discovery confirmed the published list; infinite if never. */
+    double confirmationAge() {
+        return selector.confirmationAge(node.loop().now());
     }
 
-    private void fallBackToDiscovery() {
-        if (!isFallbackDue || usesPublishedList) {
-            return;
-        }
-        isFallbackDue = false;
-        node.router().tally().count("lists missed, discovery asked");
-        auditLog.append(
-                AuditEntry.Kind.LED,
-                Map.of("by", "discovery"),
-                "no list for " + settings.listTimeoutSeconds() + " s");
-        node.router().useExternalRoster(false);
+    void tick(double now) {
+        updateSource(now);
     }
 
-    /** Applies a change of the list if it fits; the router has it when this returns. */
-    AppliedEndpoints.Outcome apply(FencingToken token, EndpointUpdate update) {
+    /**
+     * Applies a change of the list if it fits; if the node goes by the published list, the router
+     * has the change when this returns.
+     *
+     * @param confirmedAt when discovery last confirmed the list, by this node's clock
+     */
+    AppliedEndpoints.Outcome apply(FencingToken token, EndpointUpdate update, double confirmedAt) {
         AppliedEndpoints.Outcome outcome = endpoints.apply(token, update);
         if (outcome != AppliedEndpoints.Outcome.APPLIED
                 && outcome != AppliedEndpoints.Outcome.UNCHANGED) {
             return outcome;
         }
-        lastUpdateAt = node.loop().now();
-        isFallbackDue = false;
-        if (!usesPublishedList) {
-            usesPublishedList = true;
-            switchToPublishedList(token, update);
-        } else if (outcome == AppliedEndpoints.Outcome.APPLIED) {
+        double now = node.loop().now();
+        boolean wasInUse = usesPublishedList();
+        selector.updateReceived(now, confirmedAt);
+        updateSource(now);
+        if (wasInUse && outcome == AppliedEndpoints.Outcome.APPLIED) {
             node.router().tally().count("lists taken");
             node.router().applyRoster(update.isFullList() ? fullList() : deltaUpdate(update));
         }
         return outcome;
     }
 
-    private void switchToPublishedList(FencingToken token, EndpointUpdate update) {
+    private void updateSource(double now) {
+        Source before = selector.source();
+        Source source = selector.update(now);
+        if (source == before) {
+            return;
+        }
+        if (source == Source.PUBLISHED) {
+            usePublishedList();
+        } else {
+            pollDiscovery();
+        }
+    }
+
+    private void pollDiscovery() {
+        node.router().tally().count("lists missed, discovery asked");
+        auditLog.append(
+                AuditEntry.Kind.LED, Map.of("by", "discovery"), "no list that is confirmed");
+        node.router().useExternalRoster(false);
+    }
+
+    private void usePublishedList() {
         Map<String, String> fields =
                 Map.of(
                         "by", "list",
-                        "fence", String.valueOf(token.number()),
-                        "number", String.valueOf(update.number()));
+                        "fence", String.valueOf(endpoints.token().number()),
+                        "number", String.valueOf(endpoints.number()));
         auditLog.append(AuditEntry.Kind.LED, fields, "");
         node.router().useExternalRoster(true);
         node.router().applyRoster(fullList());
+        node.router().rosterConfirmed();
     }
 
     /** Called when discovery's address has changed: any generation that it reports is accepted. */
--- a/door/src/main/java/embershift/door/OrderAction.java
+++ b/door/src/main/java/embershift/door/OrderAction.java
@@ -20,8 +20,13 @@
     /** The task whose orders restart hosts and nodes in steps. */
     TaskId RESTART_TASK = new TaskId("release");
 
-    /** Apply a change of the list of endpoints. */
-    record UpdateEndpoints(EndpointUpdate update) implements OrderAction {}
+    /**
+     * Apply a change of the list of endpoints.
+     *
+     * @param confirmationAge seconds between the time at which discovery certainly listed this and
+     *     the order; infinite if the sender does not say
+     */
+    record UpdateEndpoints(EndpointUpdate update, double confirmationAge) implements OrderAction {}
 
     /** Apply a configuration revision. */
     record ApplyRevision(AppliedRevision.Order revision) implements OrderAction {}
@@ -37,7 +42,9 @@
         ObjectNode body = order.body();
         String actionName = body.path("what").asText();
         if (actionName.equals("hosts") && order.task().equals(ENDPOINTS_TASK)) {
-            return new UpdateEndpoints(decodeEndpointUpdate(body));
+            return new UpdateEndpoints(
+                    decodeEndpointUpdate(body),
+                    body.path("age").asDouble(Double.POSITIVE_INFINITY));
         } else if (actionName.equals("revision") && order.task().equals(ROLLOUT_TASK)) {
             return new ApplyRevision(decodeRevision(body));
         } else if (actionName.equals("out") && order.task().equals(RESTART_TASK)) {
--- a/door/src/main/java/embershift/door/OrderExecutor.java
+++ b/door/src/main/java/embershift/door/OrderExecutor.java
@@ -79,7 +79,13 @@
     private void executeAdmitted(InstanceMessage.Order order, ObjectNode verdict, Runnable answer) {
         OrderAction action = OrderAction.decode(order);
         if (action instanceof OrderAction.UpdateEndpoints updateEndpoints) {
-            verdict.put("end", endpoints.apply(order.token(), updateEndpoints.update()).wireName());
+            // The sender had that report already when it took the age.
+            double confirmedAt = order.reportClock() - updateEndpoints.confirmationAge();
+            verdict.put(
+                    "end",
+                    endpoints
+                            .apply(order.token(), updateEndpoints.update(), confirmedAt)
+                            .wireName());
             answer.run();
         } else if (action instanceof OrderAction.ApplyRevision applyRevision) {
             applyRevision(order, applyRevision.revision(), verdict, answer);
--- a/hosted/src/main/java/embershift/hosted/DiscoveryWatch.java
+++ b/hosted/src/main/java/embershift/hosted/DiscoveryWatch.java
@@ -33,7 +33,7 @@
     private final InetSocketAddress address;
     private final Listener listener;
     private final TreeMap<String, String> entries = new TreeMap<>();
-    private final WatchSchedule schedule = new WatchSchedule(true, new Random()::nextDouble);
+    private final WatchSchedule schedule;
     private long generation = -1;
     private TcpConnection connection;
     private HttpResponseParser response;
@@ -46,19 +46,34 @@
     /** Whether discovery counts generations anew and the listener has not been notified yet. */
     private boolean isRestartUnreported;
 
-    private double lastAnswerAt = Double.NEGATIVE_INFINITY;
+    private double callStartedAt;
+    private double confirmedAt = Double.NEGATIVE_INFINITY;
     private long callCount;
 
     DiscoveryWatch(EventLoop loop, InetSocketAddress address, Listener listener) {
+        this(loop, address, WatchSchedule.MAX_WAIT, listener);
+    }
+
+    /**
+     * Starts a watch.
+     *
+     * @param maxWaitSeconds how long a call may wait for changes at discovery
+     */
+    DiscoveryWatch(
+            EventLoop loop, InetSocketAddress address, double maxWaitSeconds, Listener listener) {
         this.loop = loop;
         this.address = address;
         this.listener = listener;
+        schedule = new WatchSchedule(true, new Random()::nextDouble, maxWaitSeconds);
         call();
     }
 
-    /** Returns when the latest answer came. */
-    double lastAnswerAt() {
-        return lastAnswerAt;
+    /**
+     * Returns a time since which discovery has certainly listed what this watch has: when the
+     * latest call that was answered began. The answer may have been written at any time after that.
+     */
+    double confirmedAt() {
+        return confirmedAt;
     }
 
     Map<String, String> entries() {
@@ -71,8 +86,9 @@
 
     private void call() {
         callCount++;
+        callStartedAt = loop.now();
         response = new HttpResponseParser();
-        schedule.callStarted(loop.now(), connection != null);
+        schedule.callStarted(callStartedAt, connection != null);
         scheduleNextAction();
         if (connection == null) {
             hasAnsweredOnConnection = false;
@@ -140,7 +156,6 @@
             callFailed();
             return;
         }
-        lastAnswerAt = loop.now();
         long newGeneration = body.path("generation").asLong();
         boolean isMarkedComplete = body.path("reset").asBoolean();
         boolean isCompleteRequested = generation < 0;
@@ -178,6 +193,7 @@
             }
         }
         generation = newGeneration;
+        confirmedAt = callStartedAt;
         listener.answerReceived(newGeneration, entries, isRestartUnreported);
         isRestartUnreported = false;
         callOrWait();
--- a/hosted/src/main/java/embershift/hosted/RosterTask.java
+++ b/hosted/src/main/java/embershift/hosted/RosterTask.java
@@ -16,16 +16,22 @@
 final class RosterTask extends LeasedTask implements NodeConnections.Listener {
 
     /**
-     * Seconds between two orders to a node that has the latest roster; they keep it from asking
-     * discovery itself.
+     * Least seconds between two orders to a node that has the latest roster; they tell it when
+     * discovery last confirmed that, which keeps the node from asking discovery itself.
      */
-    private static final double KEEPALIVE_SECONDS = 1;
+    private static final double CONFIRMATION_SECONDS = 0.9;
+
+    /**
+     * Seconds that a call may wait at discovery: a confirmation is at least as old as the call that
+     * brought it.
+     */
+    private static final double MAX_DISCOVERY_WAIT_SECONDS = 0.5;
 
     private static final double RETRY_SECONDS = 0.2;
 
     /**
-     * The most orders sent in one tick: a hundred nodes that reconnect at the same time get the
-     * roster spread over about a second.
+     * The most changes of the roster sent in one tick: a hundred nodes that reconnect at the same
+     * time get the roster spread over about a second.
      */
     private static final int MAX_ORDERS_PER_TICK = 16;
 
@@ -37,10 +43,14 @@
 
     /** What a node is known to have, by its verdicts. */
     private static final class NodeProgress {
-        private long incarnation;
+        private final long incarnation;
         private long acknowledgedNumber;
         private boolean isOrderPending;
         private double nextOrderAt = Double.NEGATIVE_INFINITY;
+
+        NodeProgress(long incarnation) {
+            this.incarnation = incarnation;
+        }
     }
 
     private PublishedEndpoints endpoints = new PublishedEndpoints();
@@ -61,6 +71,7 @@
                 new DiscoveryWatch(
                         tasks.loop(),
                         TomlSettings.parseAddress(tasks.settings().discovery()),
+                        MAX_DISCOVERY_WAIT_SECONDS,
                         (generation, entries, isRestarted) -> {
                             tasks.count("discovery answers");
                             if (isRestarted) {
@@ -87,7 +98,7 @@
     @Override
     void doWork() {
         double now = now();
-        if (now - discovery.lastAnswerAt() < DISCOVERY_TIMEOUT_SECONDS
+        if (now - discovery.confirmedAt() < DISCOVERY_TIMEOUT_SECONDS
                 && (tasks.nodes().connected().size() > 0
                         || tasks.store().findByPrefix(NodeConnections.NODE_PREFIX).isEmpty())) {
             leaseHolder().progressMade(now);
@@ -97,62 +108,77 @@
         }
         int sent = 0;
         for (NodeConnections.NodeConnection node : tasks.nodes().connected()) {
-            NodeProgress progress = nodes.computeIfAbsent(node.name, key -> new NodeProgress());
-            if (progress.incarnation != node.incarnation) {
-                progress.incarnation = node.incarnation;
-                progress.acknowledgedNumber = 0;
-                progress.isOrderPending = false;
-                progress.nextOrderAt = Double.NEGATIVE_INFINITY;
-            }
-            if (!progress.isOrderPending
-                    && now >= progress.nextOrderAt
-                    && node.report().has("clock")
+            NodeProgress progress = progressOf(node);
+            if (progress.acknowledgedNumber != endpoints.number()
+                    && mayReceiveOrder(node, progress)
                     && sent++ < MAX_ORDERS_PER_TICK) {
                 sendUpdate(node, progress);
             }
         }
     }
 
+    /**
+     * A report is answered with a confirmation where one is due: the node reckons the age of that
+     * from the report, so that a recent one makes it count for longer.
+     */
+    @Override
+    public void nodeReported(NodeConnections.NodeConnection node) {
+        if (!holdsLease() || discovery == null || endpoints.number() == 0) {
+            return;
+        }
+        NodeProgress progress = progressOf(node);
+        if (progress.acknowledgedNumber == endpoints.number() && mayReceiveOrder(node, progress)) {
+            sendUpdate(node, progress);
+        }
+    }
+
+    private NodeProgress progressOf(NodeConnections.NodeConnection node) {
+        return nodes.compute(
+                node.name,
+                (name, known) ->
+                        known != null && known.incarnation == node.incarnation
+                                ? known
+                                : new NodeProgress(node.incarnation));
+    }
+
+    private boolean mayReceiveOrder(NodeConnections.NodeConnection node, NodeProgress progress) {
+        return !progress.isOrderPending
+                && now() >= progress.nextOrderAt
+                && node.report().has("clock");
+    }
+
     private void sendUpdate(NodeConnections.NodeConnection node, NodeProgress progress) {
         EndpointUpdate update = endpoints.updateSince(progress.acknowledgedNumber);
         ObjectNode order =
                 JsonMessages.newObject()
                         .put("number", update.number())
                         .put("base", update.baseNumber())
-                        .put("generation", update.generation());
+                        .put("generation", update.generation())
+                        .put("age", now() - discovery.confirmedAt());
         JsonMessages.putTexts(order.putObject("changed"), update.changed());
         JsonMessages.addTexts(order.putArray("gone"), update.removed());
         progress.isOrderPending = true;
         tasks.count(update.baseNumber() == 0 ? "lists told whole" : "lists told by difference");
-        long incarnation = progress.incarnation;
         sendOrder(
-                node,
-                "hosts",
-                order,
-                verdict -> {
-                    if (progress.incarnation != incarnation) {
-                        return;
-                    }
-                    progress.isOrderPending = false;
-                    String result = verdict == null ? "" : verdict.path("end").asText();
-                    if (result.equals("TAKEN") || result.equals("SAME")) {
-                        progress.acknowledgedNumber = update.number();
-                        progress.nextOrderAt =
-                                progress.acknowledgedNumber == endpoints.number()
-                                        ? now() + KEEPALIVE_SECONDS
-                                        : Double.NEGATIVE_INFINITY;
-                    } else {
-                        if (result.equals("WHOLE")) {
-                            progress.acknowledgedNumber = 0;
-                        }
-                        progress.nextOrderAt = now() + RETRY_SECONDS;
-                    }
-                });
+                node, "hosts", order, verdict -> handleVerdict(progress, update.number(), verdict));
     }
 
-    @Override
-    public void nodeReported(NodeConnections.NodeConnection node) {
-        // The verdicts tell what a node has.
+    /** The verdict is null if none came; the node may have connected again meanwhile. */
+    private void handleVerdict(NodeProgress progress, long sentNumber, ObjectNode verdict) {
+        progress.isOrderPending = false;
+        String result = verdict == null ? "" : verdict.path("end").asText();
+        if (result.equals("TAKEN") || result.equals("SAME")) {
+            progress.acknowledgedNumber = sentNumber;
+            progress.nextOrderAt =
+                    sentNumber == endpoints.number()
+                            ? now() + CONFIRMATION_SECONDS
+                            : Double.NEGATIVE_INFINITY;
+            return;
+        }
+        if (result.equals("WHOLE")) {
+            progress.acknowledgedNumber = 0;
+        }
+        progress.nextOrderAt = now() + RETRY_SECONDS;
     }
 
     @Override
--- a/node/src/main/java/embershift/protocol/WatchSchedule.java
+++ b/node/src/main/java/embershift/protocol/WatchSchedule.java
@@ -33,7 +33,7 @@
     private static final double WIDE_JITTER = 0.42;
 
     /** Seconds that a call on a persistent connection may wait for changes at discovery. */
-    private static final double MAX_WAIT = 3.0;
+    public static final double MAX_WAIT = 3.0;
 
     /** Maximum seconds that a call on a new connection may wait for changes at discovery. */
     private static final double MAX_FIRST_WAIT = 1.6;
@@ -67,6 +67,7 @@
 
     private final boolean retriesEarly;
     private final DoubleSupplier random;
+    private final double longestWait;
     private boolean calling;
     private double callStartedAt;
     private double randomFraction;
@@ -87,8 +88,18 @@
      * @param random supplies numbers from [0, 1), which differ between nodes
      */
     public WatchSchedule(boolean retriesEarly, DoubleSupplier random) {
+        this(retriesEarly, random, MAX_WAIT);
+    }
+
+    /**
+     * Creates a schedule with shorter calls.
+     *
+     * @param longestWait seconds that a call may wait for changes at discovery
+     */
+    public WatchSchedule(boolean retriesEarly, DoubleSupplier random, double longestWait) {
         this.retriesEarly = retriesEarly;
         this.random = random;
+        this.longestWait = longestWait;
     }
 
     /**
@@ -112,12 +123,15 @@
         randomFraction = random.getAsDouble();
         isCallUrgent = now < urgentUntil;
         boolean hasWideJitter = !isCallUrgent && failures > 0 && failures <= WIDE_JITTER_FAILURES;
+        double maxInterval =
+                isCallUrgent
+                        ? MAX_URGENT_CALL_INTERVAL
+                        : Math.min(MAX_CALL_INTERVAL, longestWait + QUEUEING_RESERVE);
         callInterval =
-                (isCallUrgent ? MAX_URGENT_CALL_INTERVAL : MAX_CALL_INTERVAL)
-                        * (1 - (hasWideJitter ? WIDE_JITTER : JITTER) * (1 - randomFraction));
+                maxInterval * (1 - (hasWideJitter ? WIDE_JITTER : JITTER) * (1 - randomFraction));
         double firstWait = Math.min(MAX_FIRST_WAIT, callInterval - QUEUEING_RESERVE);
-        maxWait = persistent ? MAX_WAIT : Math.max(0, firstWait);
-        nextActionAt = now + (persistent && !isCallUrgent ? MAX_CALL_INTERVAL : callInterval);
+        maxWait = persistent ? longestWait : Math.max(0, Math.min(firstWait, longestWait));
+        nextActionAt = now + (persistent && !isCallUrgent ? maxInterval : callInterval);
     }
 
     /** The current call has failed, was refused or was given up. */
--- a/node/src/main/java/embershift/routing/RosterClient.java
+++ b/node/src/main/java/embershift/routing/RosterClient.java
@@ -104,6 +104,7 @@
             fullListWanted = false;
         } else {
             generation = -1;
+            schedule.beginUrgentCalls(router.now());
             if (watching || alwaysWatches) {
                 watch(true);
             }
--- a/rig/src/main/java/embershift/rig/process/HostsStand.java
+++ b/rig/src/main/java/embershift/rig/process/HostsStand.java
@@ -40,6 +40,10 @@
     private final List<Setup> setups = new ArrayList<>();
     private final ServerSocket discovery;
     private final Set<Socket> callers = ConcurrentHashMap.newKeySet();
+
+    /** Connections that have brought a call lately, open or not. */
+    private final Set<Socket> callingSockets = ConcurrentHashMap.newKeySet();
+
     private long generation = 1;
     private long calls;
 
@@ -139,6 +143,16 @@
         return calls;
     }
 
+    /** Forgets which connections have brought a call. */
+    public synchronized void forgetCallers() {
+        callingSockets.clear();
+    }
+
+    /** How many connections have brought a call since {@link #forgetCallers}. */
+    public synchronized int callers() {
+        return callingSockets.size();
+    }
+
     /** Discovery says so of a host from now on, which takes setups while it is in service. */
     public synchronized void lifecycle(String name, String lifecycle, boolean serves) {
         Host host = hosts.get(name);
@@ -196,9 +210,13 @@
                     continue;
                 }
                 String after = line.replaceAll(".*after=(\\d+).*", "$1");
+                String wait = line.replaceAll(".*wait_ms=(\\d+).*", "$1");
                 synchronized (this) {
                     calls++;
-                    long until = System.nanoTime() + 3_000_000_000L;
+                    callingSockets.add(socket);
+                    long until =
+                            System.nanoTime()
+                                    + (wait.matches("\\d+") ? Long.parseLong(wait) : 0) * 1_000_000;
                     while (after.matches("\\d+")
                             && Long.parseLong(after) == generation
                             && System.nanoTime() < until) {
