--- a/door/src/main/java/embershift/door/EndpointFeed.java
+++ b/door/src/main/java/embershift/door/EndpointFeed.java
@@ -12,6 +12,7 @@
 import embershift.protocol.MalformedDataException;
 import embershift.protocol.RosterUpdate;
 import embershift.routing.Router;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -69,9 +70,17 @@
      * Applies a change of the list if it fits; if the node goes by the published list, the router
      * has the change when this returns.
      *
+     * @param discovery the discovery that lists this, or null if the sender did not say
      * @param confirmedAt when discovery last confirmed the list, by this node's clock
      */
-    AppliedEndpoints.Outcome apply(FencingToken token, EndpointUpdate update, double confirmedAt) {
+    AppliedEndpoints.Outcome apply(
+            FencingToken token,
+            EndpointUpdate update,
+            InetSocketAddress discovery,
+            double confirmedAt) {
+        if (discovery != null && !discovery.equals(node.router().discoveryAddress())) {
+            return AppliedEndpoints.Outcome.OTHER_DISCOVERY;
+        }
         AppliedEndpoints.Outcome outcome = endpoints.apply(token, update);
         if (outcome != AppliedEndpoints.Outcome.APPLIED
                 && outcome != AppliedEndpoints.Outcome.UNCHANGED) {
@@ -79,7 +88,7 @@
         }
         double now = node.loop().now();
         boolean wasInUse = usesPublishedList();
-        selector.updateReceived(now, confirmedAt);
+        selector.updateReceived(now, discovery == null ? Double.NEGATIVE_INFINITY : confirmedAt);
         updateSource(now);
         if (wasInUse && outcome == AppliedEndpoints.Outcome.APPLIED) {
             node.router().tally().count("lists taken");
@@ -97,14 +106,13 @@
         if (source == Source.PUBLISHED) {
             usePublishedList();
         } else {
-            pollDiscovery();
+            pollDiscovery("no list that is confirmed");
         }
     }
 
-    private void pollDiscovery() {
+    private void pollDiscovery(String reason) {
         node.router().tally().count("lists missed, discovery asked");
-        auditLog.append(
-                AuditEntry.Kind.LED, Map.of("by", "discovery"), "no list that is confirmed");
+        auditLog.append(AuditEntry.Kind.LED, Map.of("by", "discovery"), reason);
         node.router().useExternalRoster(false);
     }
 
@@ -120,9 +128,18 @@
         node.router().rosterConfirmed();
     }
 
-    /** Called when discovery's address has changed: any generation that it reports is accepted. */
-    void discoveryMoved() {
+    /**
+     * The published list is of the discovery before, so the node polls the new one at once; any
+     * generation that this reports is accepted.
+     */
+    @Override
+    public void discoveryMoved() {
         endpoints.discoveryReported(Long.MIN_VALUE);
+        boolean wasInUse = usesPublishedList();
+        selector.discoveryMoved(node.loop().now());
+        if (wasInUse) {
+            pollDiscovery("discovery has moved");
+        }
     }
 
     @Override
--- a/door/src/main/java/embershift/door/OrderAction.java
+++ b/door/src/main/java/embershift/door/OrderAction.java
@@ -5,6 +5,9 @@
 import embershift.fleet.lease.TaskId;
 import embershift.fleet.rollout.AppliedRevision;
 import embershift.model.HostId;
+import embershift.protocol.Addresses;
+import embershift.protocol.MalformedDataException;
+import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
 
@@ -23,10 +26,13 @@
     /**
      * Apply a change of the list of endpoints.
      *
+     * @param discovery the discovery that lists this, or null if the sender does not say
      * @param confirmationAge seconds between the time at which discovery certainly listed this and
      *     the order; infinite if the sender does not say
      */
-    record UpdateEndpoints(EndpointUpdate update, double confirmationAge) implements OrderAction {}
+    record UpdateEndpoints(
+            EndpointUpdate update, InetSocketAddress discovery, double confirmationAge)
+            implements OrderAction {}
 
     /** Apply a configuration revision. */
     record ApplyRevision(AppliedRevision.Order revision) implements OrderAction {}
@@ -44,6 +50,7 @@
         if (actionName.equals("hosts") && order.task().equals(ENDPOINTS_TASK)) {
             return new UpdateEndpoints(
                     decodeEndpointUpdate(body),
+                    decodeAddress(body.path("source").asText()),
                     body.path("age").asDouble(Double.POSITIVE_INFINITY));
         } else if (actionName.equals("revision") && order.task().equals(ROLLOUT_TASK)) {
             return new ApplyRevision(decodeRevision(body));
@@ -64,6 +71,14 @@
                 JsonMessages.readList(body.path("gone")));
     }
 
+    private static InetSocketAddress decodeAddress(String text) {
+        try {
+            return Addresses.parse(text);
+        } catch (MalformedDataException e) {
+            return null;
+        }
+    }
+
     private static AppliedRevision.Order decodeRevision(ObjectNode body) {
         return new AppliedRevision.Order(
                 body.path("number").asLong(),
--- a/door/src/main/java/embershift/door/OrderExecutor.java
+++ b/door/src/main/java/embershift/door/OrderExecutor.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import embershift.fleet.audit.AuditEntry;
+import embershift.fleet.endpoints.AppliedEndpoints;
 import embershift.fleet.lease.OrderAdmission;
 import embershift.fleet.rollout.AppliedRevision;
 import embershift.routing.Tally;
@@ -79,13 +80,7 @@
     private void executeAdmitted(InstanceMessage.Order order, ObjectNode verdict, Runnable answer) {
         OrderAction action = OrderAction.decode(order);
         if (action instanceof OrderAction.UpdateEndpoints updateEndpoints) {
-            // The sender had that report already when it took the age.
-            double confirmedAt = order.reportClock() - updateEndpoints.confirmationAge();
-            verdict.put(
-                    "end",
-                    endpoints
-                            .apply(order.token(), updateEndpoints.update(), confirmedAt)
-                            .wireName());
+            verdict.put("end", updateEndpoints(order, updateEndpoints).wireName());
             answer.run();
         } else if (action instanceof OrderAction.ApplyRevision applyRevision) {
             applyRevision(order, applyRevision.revision(), verdict, answer);
@@ -105,6 +100,13 @@
         }
     }
 
+    private AppliedEndpoints.Outcome updateEndpoints(
+            InstanceMessage.Order order, OrderAction.UpdateEndpoints action) {
+        // The sender had that report already when it took the age.
+        double confirmedAt = order.reportClock() - action.confirmationAge();
+        return endpoints.apply(order.token(), action.update(), action.discovery(), confirmedAt);
+    }
+
     private void applyRevision(
             InstanceMessage.Order order,
             AppliedRevision.Order revision,
--- a/door/src/main/java/embershift/door/RevisionApplier.java
+++ b/door/src/main/java/embershift/door/RevisionApplier.java
@@ -29,7 +29,6 @@
     private final NodeExtension.NodeContext node;
     private final Router router;
     private final AppliedRevision revision;
-    private final EndpointFeed endpoints;
     private final AuditUploader auditLog;
     private final SessionCounter sessions;
     private RevisionFields applied = RevisionFields.NONE;
@@ -42,13 +41,11 @@
     RevisionApplier(
             NodeExtension.NodeContext node,
             AppliedRevision revision,
-            EndpointFeed endpoints,
             AuditUploader auditLog,
             SessionCounter sessions) {
         this.node = node;
         this.router = node.router();
         this.revision = revision;
-        this.endpoints = endpoints;
         this.auditLog = auditLog;
         this.sessions = sessions;
     }
@@ -71,12 +68,8 @@
         } catch (RevisionFields.InvalidFieldException e) {
             return Optional.of(e.getMessage());
         }
-        InetSocketAddress discoveryBefore = router.discoveryAddress();
         applied = parsed;
         router.reconfigure(adapt(node.configuration()));
-        if (!discoveryBefore.equals(router.discoveryAddress())) {
-            endpoints.discoveryMoved();
-        }
         node.ejections().replaceEjectedBy(EJECTION_SOURCE, parsed.ejectedHosts());
         return Optional.empty();
     }
--- a/door/src/main/java/embershift/door/RunningAgent.java
+++ b/door/src/main/java/embershift/door/RunningAgent.java
@@ -64,7 +64,7 @@
                         connections);
         sessions = new SessionCounter(node.router(), revision, auditLog, startedAt);
         endpoints = new EndpointFeed(node, settings, auditLog, random);
-        revisions = new RevisionApplier(node, revision, endpoints, auditLog, sessions);
+        revisions = new RevisionApplier(node, revision, auditLog, sessions);
         restartEjections = new RestartEjections(node.ejections(), auditLog);
         orders =
                 new OrderExecutor(
--- a/door/src/test/java/embershift/door/AgentTestBase.java
+++ b/door/src/test/java/embershift/door/AgentTestBase.java
@@ -84,6 +84,10 @@
         return server;
     }
 
+    static String address(ServerSocket server) {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
     static NodeConfiguration configuration(ServerSocket discovery) throws MalformedDataException {
         return NodeConfiguration.parse(CONFIGURATION.formatted(discovery.getLocalPort()), null);
     }
@@ -188,6 +192,7 @@
                         .put("number", number)
                         .put("base", base)
                         .put("generation", 5)
+                        .put("source", address(discovery))
                         .put("age", 0);
         order.putObject("changed")
                 .put(
@@ -198,6 +203,16 @@
         return order;
     }
 
+    /** Returns whether the node goes by published lists now, as it reports from now on. */
+    boolean usesPublishedList() throws Exception {
+        double now = loop.now();
+        ObjectNode report;
+        do {
+            report = readMessage(FrameCodec.NODE, "report");
+        } while (report.path("clock").asDouble() < now);
+        return report.path("led").asBoolean();
+    }
+
     /** Sends an order, as one that follows the node's next report, and returns the verdict. */
     ObjectNode executeOrder(ObjectNode order) throws Exception {
         readMessage(FrameCodec.NODE, "report");
--- a/door/src/test/java/embershift/door/NodeMessagesTest.java
+++ b/door/src/test/java/embershift/door/NodeMessagesTest.java
@@ -162,5 +162,7 @@
         recordVerdict("hosts out for a release", ejectOrder);
         recordVerdict("no such order", order("release", "dance", 40));
         recordVerdict("order that is too old", order("release", "out", 40).put("seen", 0));
+        recordVerdict(
+                "list of another discovery", endpointsOrder(9, 0, 21).put("source", "127.0.0.1:9"));
     }
 }
--- a/door/src/test/java/embershift/door/PublishedListAgeTest.java
+++ b/door/src/test/java/embershift/door/PublishedListAgeTest.java
@@ -36,10 +36,6 @@
         assertTrue(usesPublishedList());
     }
 
-    private boolean usesPublishedList() throws Exception {
-        return readMessage(FrameCodec.NODE, "report").path("led").asBoolean();
-    }
-
     /** Returns whether discovery is called within a moment. */
     private boolean isDiscoveryCalled() throws Exception {
         discovery.setSoTimeout((int) (1000 * ORDER_SECONDS));
@@ -96,11 +92,6 @@
             assertEquals(executeOrder(order).path("end").asText(), "SAME");
         }
         Thread.sleep((long) (1000 * TICK_SECONDS));
-        readMessage(FrameCodec.NODE, "report");
-        while (readMessage(FrameCodec.NODE, "report").path("clock").asDouble()
-                < loop.now() - TICK_SECONDS) {
-            // Reports that were sent before.
-        }
         assertFalse(usesPublishedList());
     }
 }
--- a/fleet/src/main/java/embershift/fleet/endpoints/AppliedEndpoints.java
+++ b/fleet/src/main/java/embershift/fleet/endpoints/AppliedEndpoints.java
@@ -20,6 +20,8 @@
         STALE("OLDER"),
         /** Discovery itself has reported a newer list to this node. */
         BEHIND_DISCOVERY("BEHIND"),
+        /** The update is of another discovery than this node's, and was not examined. */
+        OTHER_DISCOVERY("ELSEWHERE"),
         /** The update is based on a list that is not held here. */
         FULL_LIST_NEEDED("WHOLE");
 
--- a/fleet/src/main/java/embershift/fleet/endpoints/EndpointSourceSelector.java
+++ b/fleet/src/main/java/embershift/fleet/endpoints/EndpointSourceSelector.java
@@ -75,6 +75,17 @@
         }
     }
 
+    /**
+     * The node is to go by another discovery from now on: it polls that, and what was confirmed
+     * before doesn't count.
+     */
+    public void discoveryMoved(double now) {
+        earliestConfirmation = now;
+        confirmedAt = Double.NEGATIVE_INFINITY;
+        currentSince = Double.POSITIVE_INFINITY;
+        pollDiscovery();
+    }
+
     /** Decides anew, and returns the source from now on. Call it several times a second. */
     public Source update(double now) {
         if (isCurrent(now)) {
--- a/hosted/src/main/java/embershift/hosted/InstanceSettings.java
+++ b/hosted/src/main/java/embershift/hosted/InstanceSettings.java
@@ -36,11 +36,14 @@
      * The settings of the fleet's tasks; for the others see {@link RolloutSettings}.
      *
      * @param discovery the address of discovery, which is watched on behalf of all nodes
+     * @param discoveryAtNodes the address of the same discovery in the nodes' configurations, where
+     *     they reach it by another one; by default the same
      * @param manager the address of the manager that restarts hosts and nodes
      * @param sessionSeconds without word of a lease holder after which another instance takes over
      */
     public record FleetSettings(
             String discovery,
+            @JsonProperty("discovery-at-nodes") String discoveryAtNodes,
             String manager,
             @JsonProperty("session-s") Double sessionSeconds,
             @JsonProperty("settle-s") Double settleSeconds,
@@ -56,6 +59,7 @@
 
         public FleetSettings {
             RolloutSettings defaults = RolloutSettings.DEFAULTS;
+            discoveryAtNodes = discoveryAtNodes == null ? discovery : discoveryAtNodes;
             sessionSeconds =
                     sessionSeconds == null
                             ? LeaseSettings.DEFAULTS.sessionSeconds()
@@ -213,7 +217,7 @@
         List<String> addresses = new ArrayList<>(peerAddresses.values());
         addresses.addAll(List.of(listenAddress, advertisedAddress));
         if (fleet != null) {
-            Stream.of(fleet.discovery, fleet.manager)
+            Stream.of(fleet.discovery, fleet.discoveryAtNodes, fleet.manager)
                     .filter(Objects::nonNull)
                     .forEach(addresses::add);
         }
--- a/hosted/src/main/java/embershift/hosted/RosterTask.java
+++ b/hosted/src/main/java/embershift/hosted/RosterTask.java
@@ -6,6 +6,7 @@
 import embershift.fleet.endpoints.EndpointUpdate;
 import embershift.fleet.endpoints.PublishedEndpoints;
 import embershift.fleet.lease.TaskPlan;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -29,6 +30,9 @@
 
     private static final double RETRY_SECONDS = 0.2;
 
+    /** Seconds after which a node is tried again that goes by another discovery than this. */
+    private static final double OTHER_DISCOVERY_RETRY_SECONDS = 10;
+
     /**
      * The most changes of the roster sent in one tick: a hundred nodes that reconnect at the same
      * time get the roster spread over about a second.
@@ -53,15 +57,26 @@
         }
     }
 
+    /** The address of discovery in the nodes' configurations. */
+    private final String source;
+
     private PublishedEndpoints endpoints = new PublishedEndpoints();
     private DiscoveryWatch discovery;
     private final Map<String, NodeProgress> nodes = new HashMap<>();
 
     RosterTask(LeasedTasks tasks) {
         super(tasks, "lists");
+        source = formatResolved(TomlSettings.parseAddress(tasks.settings().discoveryAtNodes()));
         createLeaseHolder(new TaskPlan("lists", 0, 0), tasks.settings().continuousLeaseSettings());
     }
 
+    /** Nodes know addresses as numbers only. */
+    private static String formatResolved(InetSocketAddress address) {
+        return address.isUnresolved()
+                ? ""
+                : address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     @Override
     void leaseAcquired() {
         endpoints = new PublishedEndpoints();
@@ -154,6 +169,7 @@
                         .put("number", update.number())
                         .put("base", update.baseNumber())
                         .put("generation", update.generation())
+                        .put("source", source)
                         .put("age", now() - discovery.confirmedAt());
         JsonMessages.putTexts(order.putObject("changed"), update.changed());
         JsonMessages.addTexts(order.putArray("gone"), update.removed());
@@ -178,7 +194,11 @@
         if (result.equals("WHOLE")) {
             progress.acknowledgedNumber = 0;
         }
-        progress.nextOrderAt = now() + RETRY_SECONDS;
+        progress.nextOrderAt =
+                now()
+                        + (result.equals("ELSEWHERE")
+                                ? OTHER_DISCOVERY_RETRY_SECONDS
+                                : RETRY_SECONDS);
     }
 
     @Override
--- a/node/src/main/java/embershift/routing/RosterClient.java
+++ b/node/src/main/java/embershift/routing/RosterClient.java
@@ -65,17 +65,18 @@
     /**
      * Changes the address of discovery. A call to the old address is given up, as nothing new is
      * published there, and the watch goes on at the new one at once. The known generation belongs
-     * to the old address, so the full list is requested.
+     * to the old address, so the full list is requested. Returns whether the address has changed.
      */
-    void moveTo(InetSocketAddress next) {
+    boolean moveTo(InetSocketAddress next) {
         if (next.equals(address)) {
-            return;
+            return false;
         }
         setAddress(next);
         stop();
         generation = -1;
         schedule.beginUrgentCalls(router.now());
         watch(true);
+        return true;
     }
 
     /**
--- a/node/src/main/java/embershift/routing/Router.java
+++ b/node/src/main/java/embershift/routing/Router.java
@@ -218,6 +218,9 @@
         /** Discovery itself has answered, with a list of this generation. */
         void discoveryAnswered(long generation);
 
+        /** Discovery has another address from now on; what was received was listed by the last. */
+        void discoveryMoved();
+
         /** The full list as last received. */
         RosterUpdate fullList();
     }
@@ -311,7 +314,9 @@
 
     /** Applies those parts of a new configuration that can change while tunnels are open. */
     public void reconfigure(NodeConfiguration next) {
-        rosterClient.moveTo(next.discovery());
+        if (rosterClient.moveTo(next.discovery()) && externalRoster != null) {
+            externalRoster.discoveryMoved();
+        }
         peers.setAddresses(next);
         descriptorLimit = next.sockets();
         applyDescriptorLimits();
--- a/rig/src/main/java/embershift/rig/process/FleetMeasure.java
+++ b/rig/src/main/java/embershift/rig/process/FleetMeasure.java
@@ -105,7 +105,8 @@
         calls(site, nodes, "with no instance");
         site.instances.names().forEach(site.instances::goOn);
         site.awaitOwner("lists", null);
-        Instances.sleep(6);
+        // Nodes return to its lists after six seconds of confirmations.
+        Instances.sleep(10);
     }
 
     /** From the command to the round from which a node acts on it, by the nodes' own trails. */
