--- a/node/src/test/java/embershift/program/InitialRosterTest.java
+++ b/node/src/test/java/embershift/program/InitialRosterTest.java
@@ -6,7 +6,6 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -62,9 +61,9 @@
         folder = Files.createTempDirectory("embershift");
         script.clear();
         setupsAtDrainingHost.clear();
-        discovery = listenOnLoopback();
-        drainingHost = listenOnLoopback();
-        readyHost = listenOnLoopback();
+        discovery = ReadyTest.listenOnLoopback();
+        drainingHost = ReadyTest.listenOnLoopback();
+        readyHost = ReadyTest.listenOnLoopback();
         serve(discovery, this::answerCall);
         serve(drainingHost, socket -> openTunnel(socket, setupsAtDrainingHost));
         serve(readyHost, socket -> openTunnel(socket, new ConcurrentLinkedQueue<>()));
@@ -91,43 +90,21 @@
         Files.delete(folder);
     }
 
-    private static ServerSocket listenOnLoopback() throws IOException {
-        return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    }
-
     private interface ConnectionHandler {
         void handle(Socket socket) throws IOException, InterruptedException;
     }
 
     private void serve(ServerSocket server, ConnectionHandler handler) {
-        startDaemonThread(
+        ReadyTest.startDaemonThread(
                 () -> {
                     while (true) {
                         Socket socket = server.accept();
                         openSockets.add(socket);
-                        startDaemonThread(() -> handler.handle(socket));
+                        ReadyTest.startDaemonThread(() -> handler.handle(socket));
                     }
                 });
     }
 
-    private interface Task {
-        void run() throws IOException, InterruptedException;
-    }
-
-    private static void startDaemonThread(Task task) {
-        Thread thread =
-                new Thread(
-                        () -> {
-                            try {
-                                task.run();
-                            } catch (IOException | InterruptedException e) {
-                                // The sockets are closed at the end of the test.
-                            }
-                        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private void answerCall(Socket socket) throws IOException, InterruptedException {
         BufferedReader in = ServeTest.reader(socket.getInputStream());
         for (String line = in.readLine(); line != null; line = in.readLine()) {
@@ -204,27 +181,18 @@
         node = builder.redirectOutput(folder.resolve("log").toFile()).start();
     }
 
-    /** Returns the first line of the answer; "" where nothing listens. */
-    private static String firstLine(int port, String request) {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-            socket.setSoTimeout(TIMEOUT_MS);
-            send(socket, request);
-            return String.valueOf(ServeTest.reader(socket.getInputStream()).readLine());
-        } catch (IOException e) {
-            return "";
-        }
-    }
-
     private boolean isReady() {
-        return firstLine(management, "GET /api/ready HTTP/1.1\r\n\r\n").startsWith("HTTP/1.1 200");
+        return ReadyTest.firstLine(management, "GET /api/ready HTTP/1.1\r\n\r\n")
+                .startsWith("HTTP/1.1 200");
     }
 
     /** Waits until the node answers clients; the operators' readiness must not come before that. */
     private void awaitServing() throws Exception {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
-        while (!firstLine(port, "PING\r\n").equals("PONG")) {
+        while (!ReadyTest.firstLine(port, "PING\r\n").equals("PONG")) {
             assertFalse(
-                    isReady() && !firstLine(port, "PING\r\n").equals("PONG"), "ready too early");
+                    isReady() && !ReadyTest.firstLine(port, "PING\r\n").equals("PONG"),
+                    "ready too early");
             assertTrue(
                     System.nanoTime() < deadline && node.isAlive(),
                     Files.readString(folder.resolve("log")));
@@ -249,7 +217,7 @@
         startNode();
         awaitServing();
         for (int i = 0; i < 20; i++) {
-            assertEquals(firstLine(port, "OPEN i" + i + " k c=p,d=3000\r\n"), "UP r");
+            assertEquals(ReadyTest.firstLine(port, "OPEN i" + i + " k c=p,d=3000\r\n"), "UP r");
         }
         assertEquals(List.copyOf(setupsAtDrainingHost), List.of());
         assertTrue(isReady());
@@ -274,7 +242,7 @@
         awaitServing();
         double elapsedSeconds = (System.nanoTime() - startedAt) / 1e9;
         assertTrue(elapsedSeconds < READY_SECONDS, "ready after " + elapsedSeconds + " s");
-        assertEquals(firstLine(port, "OPEN i k c=p,d=3000\r\n"), "UP r");
+        assertEquals(ReadyTest.firstLine(port, "OPEN i k c=p,d=3000\r\n"), "UP r");
     }
 
     @Test
--- a/node/src/test/java/embershift/program/ReadyTest.java
+++ b/node/src/test/java/embershift/program/ReadyTest.java
@@ -92,21 +92,22 @@
         }
     }
 
-    private static ServerSocket listenOnLoopback() throws IOException {
+    static ServerSocket listenOnLoopback() throws IOException {
         return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     }
 
-    private interface Task {
-        void run() throws IOException;
+    /** Work of a stand-in, which ends with its sockets. */
+    interface Task {
+        void run() throws IOException, InterruptedException;
     }
 
-    private static void startDaemonThread(Task task) {
+    static void startDaemonThread(Task task) {
         Thread thread =
                 new Thread(
                         () -> {
                             try {
                                 task.run();
-                            } catch (IOException e) {
+                            } catch (IOException | InterruptedException e) {
                                 // The sockets are closed at the end of the test.
                             }
                         });
@@ -153,7 +154,7 @@
     }
 
     /** Returns the first line of the answer; "" where nothing listens. */
-    private static String firstLine(int port, String request) {
+    static String firstLine(int port, String request) {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
             socket.setSoTimeout(TIMEOUT_MS);
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
--- a/node/src/test/java/embershift/routing/RouterAcceptanceTest.java
+++ b/node/src/test/java/embershift/routing/RouterAcceptanceTest.java
@@ -334,16 +334,20 @@
         assertEquals(counter("roster entries unreadable"), 0);
     }
 
-    @Test
-    public void unsolicitedRosterArrivesWithinFourSecondsOfReloadDespiteTwoFailures()
-            throws Exception {
-        rosterOnRequest = false;
-        ServerSocket host = openServerSocket();
+    private void startRouterThatWatches(ServerSocket host) throws Exception {
         startRouter("1024", host);
         Socket watch = accept(discovery);
         readRequest(watch);
         sendOkResponse(watch, rosterJson(9, true, rosterEntry(host, "in_service")));
         readRequest(watch);
+    }
+
+    @Test
+    public void unsolicitedRosterArrivesWithinFourSecondsOfReloadDespiteTwoFailures()
+            throws Exception {
+        rosterOnRequest = false;
+        ServerSocket host = openServerSocket();
+        startRouterThatWatches(host);
         discovery = openServerSocket();
         long start = System.nanoTime();
         reconfigure();
@@ -375,11 +379,7 @@
         rosterOnRequest = isOnRequest;
         settingOverrides = new String[] {"must-ask-in-s", "30"};
         ServerSocket host = openServerSocket();
-        startRouter("1024", host);
-        Socket watch = accept(discovery);
-        readRequest(watch);
-        sendOkResponse(watch, rosterJson(9, true, rosterEntry(host, "in_service")));
-        readRequest(watch);
+        startRouterThatWatches(host);
         discovery = openServerSocket();
         double reloadedAt = callOnLoop(loop::now);
         reconfigure();
