--- a/rig/src/main/java/embershift/rig/process/FleetMeasure.java
+++ b/rig/src/main/java/embershift/rig/process/FleetMeasure.java
@@ -1,5 +1,6 @@
 package embershift.rig.process;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import embershift.fleet.audit.AuditEntry;
 import embershift.fleet.audit.AuditSegment;
 import java.io.IOException;
@@ -81,10 +82,27 @@
 
     private static void calls(FleetSite site, int nodes, String how) {
         long before = site.hosts.calls();
+        long ordersBefore = listOrders(site);
         Instances.sleep(SPAN);
         say(
                 "discovery calls %s, %d nodes: %.2f a second",
                 how, nodes, (site.hosts.calls() - before) / SPAN);
+        say(
+                "orders of lists %s, %d nodes: %.2f a second each",
+                how, nodes, (listOrders(site) - ordersBefore) / SPAN / nodes);
+    }
+
+    /** Orders of lists that all instances that answer have sent so far. */
+    private static long listOrders(FleetSite site) {
+        long sum = 0;
+        for (String name : site.instances.names()) {
+            ObjectNode counts = site.counts(name);
+            if (counts != null) {
+                sum += counts.path("lists told whole").asLong();
+                sum += counts.path("lists told by difference").asLong();
+            }
+        }
+        return sum;
     }
 
     /** All instances stand still: each node asks by itself after a while; then they go on. */
--- a/rig/src/main/java/embershift/rig/process/FleetSite.java
+++ b/rig/src/main/java/embershift/rig/process/FleetSite.java
@@ -12,6 +12,7 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -44,6 +45,9 @@
                     "-Djava.nio.channels.spi.SelectorProvider=embershift.transport.SharingProvider");
     private static final double PATIENCE = 30;
 
+    /** What discovery is to the ways of instances. */
+    public static final String DISCOVERY = "discovery";
+
     /** What a command prints is heard by the thread that gives it; all else goes where it went. */
     private static final ThreadLocal<ByteArrayOutputStream> HEARD = new ThreadLocal<>();
 
@@ -85,6 +89,7 @@
     private final List<Program> allNodes = new ArrayList<>();
     private final Map<String, Integer> ports = new ConcurrentHashMap<>();
     private final List<Relay> relays = new ArrayList<>();
+    private final Map<String, Relay> discoveryWays = new HashMap<>();
     private final Map<String, Path> doors = new HashMap<>();
     private long tunnels;
 
@@ -99,18 +104,27 @@
         ways = new Ways(1);
         hosts = new HostsStand(manyHosts);
         manager = new ManagerStand(this::startAnew);
+        for (int i = 1; i <= manyInstances; i++) {
+            String name = "i" + i;
+            Relay relay =
+                    new Relay(
+                            ways,
+                            name,
+                            DISCOVERY,
+                            () ->
+                                    new InetSocketAddress(
+                                            InetAddress.getLoopbackAddress(),
+                                            hosts.discoveryPort()));
+            relays.add(relay);
+            discoveryWays.put(name, relay);
+        }
         instances =
                 new Instances(
                         folder,
                         manyInstances,
                         ways,
                         new History(),
-                        "[fleet]\ndiscovery = \"127.0.0.1:"
-                                + hosts.discoveryPort()
-                                + "\"\nmanager = \"127.0.0.1:"
-                                + manager.port()
-                                + "\"\n"
-                                + fleet);
+                        name -> fleetSection(name) + fleet);
         instances.startAll();
         instances.form(manyInstances);
         for (int i = 1; i <= manyNodes; i++) {
@@ -134,6 +148,17 @@
         startNodes();
     }
 
+    /** Each instance has a way of its own to discovery, which nodes reach directly. */
+    private String fleetSection(String instance) {
+        return "[fleet]\ndiscovery = \"127.0.0.1:"
+                + discoveryWays.get(instance).address().getPort()
+                + "\"\ndiscovery-at-nodes = \"127.0.0.1:"
+                + hosts.discoveryPort()
+                + "\"\nmanager = \"127.0.0.1:"
+                + manager.port()
+                + "\"\n";
+    }
+
     private void startNodes() throws IOException {
         List<IOException> failed = new ArrayList<>();
         doors.keySet().stream().sorted().toList().parallelStream()
--- a/rig/src/main/java/embershift/rig/process/Instances.java
+++ b/rig/src/main/java/embershift/rig/process/Instances.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -51,11 +52,18 @@
     private final Map<String, InetSocketAddress> listens = new HashMap<>();
     private final Map<Ways.Way, Relay> relays = new HashMap<>();
     private final Map<String, String> classPaths = new HashMap<>();
-    private final String more;
+    private final Function<String, String> more;
 
     /** {@code more}: lines of TOML for each installation, may be empty. */
     public Instances(Path folder, int many, Ways ways, History history, String more)
             throws IOException {
+        this(folder, many, ways, history, name -> more);
+    }
+
+    /** {@code more}: lines of TOML for the installation of that name, may be empty. */
+    public Instances(
+            Path folder, int many, Ways ways, History history, Function<String, String> more)
+            throws IOException {
         this.folder = folder;
         this.ways = ways;
         this.history = history;
@@ -117,7 +125,7 @@
                                 + "\"\nfolder = \""
                                 + folder(name)
                                 + "\"\nlisten = \"127.0.0.1:0\"\ndrills = true\n"
-                                + more
+                                + more.apply(name)
                                 + "\n[ways]\n");
         for (String other : names) {
             if (!other.equals(name)) {
