--- a/node/src/main/java/embershift/protocol/WatchSchedule.java
+++ b/node/src/main/java/embershift/protocol/WatchSchedule.java
@@ -57,8 +57,8 @@
     private static final double URGENT_SECONDS = 4.0;
 
     /**
-     * Maximum seconds between the starts of two urgent calls: if the first one falls silent, the
-     * second one is still answered within {@link #URGENT_SECONDS}.
+     * Maximum seconds between the starts of the first urgent call without an answer and of the next
+     * one, which is still answered within {@link #URGENT_SECONDS}.
      */
     private static final double MAX_URGENT_CALL_INTERVAL = 1.9;
 
@@ -80,6 +80,11 @@
     /** Whether the latest call began while calls were urgent. */
     private boolean isCallUrgent;
 
+    /**
+     * Whether an urgent call was given up: discovery may be slow, and gets its time from then on.
+     */
+    private boolean hasGivenUpUrgentCall;
+
     /**
      * Creates a schedule.
      *
@@ -109,6 +114,7 @@
      */
     public void beginUrgentCalls(double now) {
         urgentUntil = now + URGENT_SECONDS;
+        hasGivenUpUrgentCall = false;
         failures = 0;
     }
 
@@ -123,20 +129,22 @@
         randomFraction = random.getAsDouble();
         isCallUrgent = now < urgentUntil;
         boolean hasWideJitter = !isCallUrgent && failures > 0 && failures <= WIDE_JITTER_FAILURES;
+        boolean isImpatient = isCallUrgent && !hasGivenUpUrgentCall;
         double maxInterval =
-                isCallUrgent
+                isImpatient
                         ? MAX_URGENT_CALL_INTERVAL
                         : Math.min(MAX_CALL_INTERVAL, longestWait + QUEUEING_RESERVE);
         callInterval =
                 maxInterval * (1 - (hasWideJitter ? WIDE_JITTER : JITTER) * (1 - randomFraction));
         double firstWait = Math.min(MAX_FIRST_WAIT, callInterval - QUEUEING_RESERVE);
         maxWait = persistent ? longestWait : Math.max(0, Math.min(firstWait, longestWait));
-        nextActionAt = now + (persistent && !isCallUrgent ? maxInterval : callInterval);
+        nextActionAt = now + (persistent && !isImpatient ? maxInterval : callInterval);
     }
 
     /** The current call has failed, was refused or was given up. */
     public void callFailed(double now) {
         calling = false;
+        hasGivenUpUrgentCall |= isCallUrgent && now >= nextActionAt;
         double growth = isCallUrgent ? URGENT_RETRY_DELAY_GROWTH : RETRY_DELAY_GROWTH;
         double delay =
                 retriesEarly || isCallUrgent
