--- a/door/src/main/java/embershift/door/EndpointFeed.java
+++ b/door/src/main/java/embershift/door/EndpointFeed.java
@@ -57,11 +57,6 @@
         return endpoints.number();
     }
 
-    /** Returns how many seconds ago discovery confirmed the published list; infinite if never. */
-    double confirmationAge() {
-        return selector.confirmationAge(node.loop().now());
-    }
-
     void tick(double now) {
         updateSource(now);
     }
--- a/door/src/test/java/embershift/door/PublishedListSourceTest.java
+++ b/door/src/test/java/embershift/door/PublishedListSourceTest.java
@@ -55,7 +55,7 @@
                 });
     }
 
-    /** Accepts the node's next call, checks that it asks for the complete list, and answers. */
+    /** Accepts the node's next call, checks that it requests the complete list, and responds. */
     private void answerCall(ServerSocket server) throws Exception {
         Socket call = server.accept();
         double elapsed = loop.now() - movedAt;
--- a/fleet/src/main/java/embershift/fleet/endpoints/EndpointSourceSelector.java
+++ b/fleet/src/main/java/embershift/fleet/endpoints/EndpointSourceSelector.java
@@ -50,7 +50,7 @@
      *
      * @param startedAt when the node's process started: earlier confirmations don't count
      * @param silenceTimeout time without an update after which the node polls discovery, if that is
-     *     sooner than the age of the confirmation asks for
+     *     sooner than the age of the confirmation requires
      * @param maxJitter longest random delay of the first poll, if that is shorter than the rules
      *     allow
      * @param random supplies numbers from [0, 1), which differ between nodes
@@ -121,9 +121,4 @@
     public Source source() {
         return source;
     }
-
-    /** Returns how long ago discovery confirmed the list; infinite if it has not. */
-    public double confirmationAge(double now) {
-        return now - confirmedAt;
-    }
 }
--- a/hosted/src/main/java/embershift/hosted/RosterTask.java
+++ b/hosted/src/main/java/embershift/hosted/RosterTask.java
@@ -17,8 +17,8 @@
 final class RosterTask extends LeasedTask implements NodeConnections.Listener {
 
     /**
-     * Least seconds between two orders to a node that has the latest roster; they tell it when
-     * discovery last confirmed that, which keeps the node from asking discovery itself.
+     * Least seconds between two orders to a node that has the latest roster; they report when
+     * discovery last confirmed it, which keeps the node from polling discovery itself.
      */
     private static final double CONFIRMATION_SECONDS = 0.9;
 
@@ -30,7 +30,7 @@
 
     private static final double RETRY_SECONDS = 0.2;
 
-    /** Seconds after which a node is tried again that goes by another discovery than this. */
+    /** Seconds until the next order to a node that is configured with another discovery. */
     private static final double OTHER_DISCOVERY_RETRY_SECONDS = 10;
 
     /**
--- a/hosted/src/test/java/embershift/hosted/ListConfirmationTest.java
+++ b/hosted/src/test/java/embershift/hosted/ListConfirmationTest.java
@@ -19,8 +19,8 @@
 import org.testng.annotations.Test;
 
 /**
- * Guards against review/7 at the sender: an owner of the lists that discovery does not answer told
- * nodes each second that its list was the latest, and nodes could not see how old that was.
+ * Guards against review/7 at the sender: an owner of the lists that had lost discovery reported its
+ * list as the latest one each second, and nodes could not see how old that was.
  */
 public class ListConfirmationTest {
 
--- a/node/src/main/java/embershift/protocol/WatchSchedule.java
+++ b/node/src/main/java/embershift/protocol/WatchSchedule.java
@@ -80,9 +80,7 @@
     /** Whether the latest call began while calls were urgent. */
     private boolean isCallUrgent;
 
-    /**
-     * Whether an urgent call was given up: discovery may be slow, and gets its time from then on.
-     */
+    /** Whether an urgent call has timed out; later ones get the timeout of any call. */
     private boolean hasGivenUpUrgentCall;
 
     /**
--- a/node/src/main/java/embershift/routing/RosterClient.java
+++ b/node/src/main/java/embershift/routing/RosterClient.java
@@ -80,9 +80,8 @@
     }
 
     /**
-     * Begins the watch of a node that has just started: asks for the full list, even if the
-     * generation of a list that the node remembers is known, and soon again if a call fails or
-     * falls silent.
+     * Starts the watch of a starting node: requests the full list, even if the generation of a
+     * remembered list is known, and retries soon if a call fails or is not answered.
      */
     void startWatch() {
         fullListWanted = true;
--- a/rig/src/test/java/embershift/rig/DiscoveryCutTest.java
+++ b/rig/src/test/java/embershift/rig/DiscoveryCutTest.java
@@ -9,7 +9,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 import org.testng.ITestResult;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -54,8 +53,9 @@
         return site.hosts.callers() == 1;
     }
 
-    private void openTunnelsUntil(BooleanSupplier isOver) {
-        while (!isOver.getAsBoolean()) {
+    private void openTunnelsFor(double seconds) {
+        long end = System.nanoTime() + (long) (1e9 * seconds);
+        while (System.nanoTime() <= end) {
             for (String node : NODES) {
                 assertTrue(site.tunnel(node).startsWith("UP"));
             }
@@ -63,11 +63,6 @@
         }
     }
 
-    private void openTunnelsFor(double seconds) {
-        long end = System.nanoTime() + (long) (1e9 * seconds);
-        openTunnelsUntil(() -> System.nanoTime() > end);
-    }
-
     @DataProvider
     public Object[][] cuts() {
         return new Object[][] {{"the owner"}, {"all instances"}};
--- a/rig/src/test/java/embershift/rig/FleetProcessesTest.java
+++ b/rig/src/test/java/embershift/rig/FleetProcessesTest.java
@@ -251,7 +251,7 @@
                                         .sum()
                                 >= 3);
         Instances.sleep(1);
-        // Discovery hears one caller, whose calls wait half a second: not three.
+        // Discovery receives calls from the owner alone, each waiting half a second.
         site.hosts.forgetCallers();
         long before = site.hosts.calls();
         Instances.sleep(3.5);
